--- /dev/null
+++ b/apps/jujubespan/load.cpp
@@ -0,0 +1,175 @@
+#include "command_line.hpp"
+#include "load_generator.hpp"
+
+#include "jujubespan/config/object_reader.hpp"
+#include "jujubespan/config/settings.hpp"
+#include "jujubespan/config/status_text.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <QCoreApplication>
+
+#include <charconv>
+
+namespace jujubespan::apps
+{
+
+namespace
+{
+
+config::endpoint to_endpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    config::endpoint value;
+    value.host = text.substr(0, colon);
+    if (colon != std::string::npos)
+    {
+        std::from_chars(text.data() + colon + 1, text.data() + text.size(),
+                        value.port);
+    }
+    return value;
+}
+
+load_kind read_kind(const config::json_value& value, std::string path,
+                    double scale, config::diagnostics& errors)
+{
+    config::object_reader reader(value, std::move(path), errors);
+    load_kind kind;
+    kind.name = reader.required_string("name");
+    kind.rate = reader.required_number("rate", 0, 1e6) * scale;
+    kind.verb = reader.string_or("method", "GET");
+    kind.target = reader.required_string("target");
+    for (const auto& node : reader.strings_or_empty("nodes"))
+    {
+        kind.nodes.push_back(to_endpoint(node));
+    }
+    if (kind.nodes.empty())
+    {
+        reader.fail("nodes", "must name at least one host:port");
+    }
+    reader.finish();
+    return kind;
+}
+
+absl::StatusOr<load_plan> read_plan(const std::string& path, double scale)
+{
+    const auto text = config::read_file(path);
+    if (!text.ok())
+    {
+        return text.status();
+    }
+    config::diagnostics errors(path);
+    const auto document = config::parse_json(*text, errors);
+    if (!document)
+    {
+        return errors.status();
+    }
+    config::object_reader reader(*document, "", errors);
+    load_plan plan;
+    plan.customer = reader.required_string("customer");
+    plan.retries =
+        static_cast<unsigned>(reader.integer_or("retries", 0, 0, 100));
+    plan.retry_delay = reader.milliseconds_or("retry_delay_ms", 50, 1, 60'000);
+    plan.deadline = reader.milliseconds_or("deadline_ms", 1000, 1, 300'000);
+    const auto kinds = reader.array("kinds", true);
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+    {
+        plan.kinds.push_back(
+            read_kind(kinds[i], fmt::format("kinds[{}]", i), scale, errors));
+    }
+    reader.finish();
+    if (!errors.ok())
+    {
+        return errors.status();
+    }
+    std::erase_if(plan.kinds, [](const auto& kind) { return kind.rate <= 0; });
+    return plan;
+}
+
+nlohmann::json to_json(const load_kind& kind, const kind_report& report,
+                       double duration_s)
+{
+    return {{"name", kind.name},
+            {"offered_per_s", static_cast<double>(report.sent) / duration_s},
+            {"sent", report.sent},
+            {"attempts", report.attempts},
+            {"completed", report.completed},
+            {"late", report.late},
+            {"not_run", report.not_run},
+            {"unknown", report.unknown},
+            {"failed", report.failed},
+            {"lost", report.lost},
+            {"p50_ms", report.latency.quantile(0.5) * 1e3},
+            {"p99_ms", report.latency.quantile(0.99) * 1e3},
+            {"completed_by_slice", report.completed_by_slice}};
+}
+
+void print_table(const load_plan& plan, std::span<const kind_report> reports)
+{
+    fmt::print("{:14} {:>8} {:>9} {:>9} {:>6} {:>8} {:>8} {:>7} {:>6} {:>8} "
+               "{:>8}\n",
+               "kind", "sent", "attempts", "completed", "late", "not-run",
+               "unknown", "failed", "lost", "p50 ms", "p99 ms");
+    for (std::size_t i = 0; i < reports.size(); ++i)
+    {
+        const auto& report = reports[i];
+        fmt::print("{:14} {:>8} {:>9} {:>9} {:>6} {:>8} {:>8} {:>7} {:>6} "
+                   "{:>8.1f} {:>8.1f}\n",
+                   plan.kinds[i].name, report.sent, report.attempts,
+                   report.completed, report.late, report.not_run,
+                   report.unknown, report.failed, report.lost,
+                   report.latency.quantile(0.5) * 1e3,
+                   report.latency.quantile(0.99) * 1e3);
+    }
+}
+
+} // namespace
+
+int load(arguments words)
+{
+    TCLAP::CmdLine line("Sends open-loop load and reports by class", ' ',
+                        JUJUBESPAN_VERSION);
+    TCLAP::SwitchArg json("", "json", "Print JSON", line);
+    TCLAP::ValueArg<double> seconds_arg("", "seconds", "Length of the load",
+                                        false, 10, "seconds", line);
+    TCLAP::ValueArg<double> scale("", "scale", "Factor on all rates", false, 1,
+                                  "factor", line);
+    TCLAP::ValueArg<unsigned> seed("", "seed", "Seed of arrival times", false,
+                                   1, "number", line);
+    TCLAP::ValueArg<std::string> prefix("", "id-prefix",
+                                        "Begin of the request ids", false,
+                                        "load", "text", line);
+    TCLAP::UnlabeledValueArg<std::string> file(
+        "plan", "Load, JSON with comments", true, "", "file", line);
+    if (const auto code = parse(line, words))
+    {
+        return *code;
+    }
+    auto plan = read_plan(file.getValue(), scale.getValue());
+    if (!plan.ok())
+    {
+        fmt::print(stderr, "{}\n", text_of(plan.status()));
+        return exit_usage;
+    }
+    plan->duration_s = seconds_arg.getValue();
+    plan->seed = seed.getValue();
+    plan->id_prefix = prefix.getValue();
+    load_generator generator(*plan, [] { QCoreApplication::quit(); });
+    generator.start();
+    QCoreApplication::exec();
+    if (!json.getValue())
+    {
+        print_table(*plan, generator.reports());
+        return exit_ok;
+    }
+    auto document = nlohmann::json::array();
+    for (std::size_t i = 0; i < plan->kinds.size(); ++i)
+    {
+        document.push_back(
+            to_json(plan->kinds[i], generator.reports()[i], plan->duration_s));
+    }
+    fmt::print("{}\n", document.dump());
+    return exit_ok;
+}
+
+} // namespace jujubespan::apps
--- /dev/null
+++ b/include/jujubespan/config/json_value.hpp
@@ -0,0 +1,39 @@
+#ifndef JUJUBESPAN_CONFIG_JSON_VALUE_HPP
+#define JUJUBESPAN_CONFIG_JSON_VALUE_HPP
+
+#include "jujubespan/config/diagnostics.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace jujubespan::config
+{
+
+struct json_value;
+
+using json_array = std::vector<json_value>;
+using json_object = std::vector<std::pair<std::string, json_value>>;
+
+/// @brief A JSON value that knows the line on which it ends.
+struct json_value
+{
+    std::variant<std::nullptr_t, bool, double, std::string, json_array,
+                 json_object>
+        data;
+    std::size_t line{0};
+};
+
+/// @brief Parses JSON with comments; reports repeated keys and values nested
+/// too deeply.
+/// @return empty when the text could not be parsed; `errors` says why.
+std::optional<json_value> parse_json(std::string_view text,
+                                     diagnostics& errors);
+
+} // namespace jujubespan::config
+
+#endif
--- /dev/null
+++ b/include/jujubespan/config/settings.hpp
@@ -0,0 +1,99 @@
+#ifndef JUJUBESPAN_CONFIG_SETTINGS_HPP
+#define JUJUBESPAN_CONFIG_SETTINGS_HPP
+
+#include "jujubespan/policy/time.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubespan::config
+{
+
+/// @brief An IP number and a port.
+struct endpoint
+{
+    std::string host;
+    std::uint16_t port{0};
+
+    bool operator==(const endpoint&) const = default;
+};
+
+/// @brief Text form, `host:port`.
+std::string to_string(const endpoint& value);
+
+/// @brief A peer to ask before any instance list is known.
+struct seed
+{
+    std::string id;
+    endpoint control_address;
+
+    bool operator==(const seed&) const = default;
+};
+
+/// @brief Bounds on what callers and peers can cost a node.
+struct bounds
+{
+    std::size_t max_body_bytes{1 << 20};
+    std::size_t max_header_bytes{16 << 10};
+    std::size_t max_connections{1400};
+    std::size_t max_in_flight{2048};
+    std::size_t max_queue{512};
+    duration idle_timeout{std::chrono::seconds(60)};
+    duration receive_timeout{std::chrono::seconds(10)};
+};
+
+/// @brief Keys for the connections between nodes, in Z85 text.
+struct peer_keys
+{
+    std::string public_key; ///< Empty: connections are not encrypted.
+    std::string secret_key;
+    std::vector<std::string> trusted; ///< Public keys of allowed peers.
+
+    [[nodiscard]] bool enabled() const { return !public_key.empty(); }
+};
+
+/// @brief Settings of one node.
+struct settings
+{
+    std::string id;
+    std::string service;
+    std::string failure_domain;
+    std::vector<std::string> failure_domains;
+    endpoint caller_address;
+    endpoint outbound_address;
+    endpoint call_address;
+    endpoint control_address;
+    endpoint operators_address;
+    endpoint backend_address;
+    endpoint platform_address;
+    std::vector<seed> seeds;
+    std::uint32_t slots{1};
+    bool protection{true}; ///< False: pass every call through.
+    duration cold_start{};
+    duration queue_wait{std::chrono::milliseconds(100)};
+    duration drain_timeout{std::chrono::seconds(30)};
+    duration list_lag{std::chrono::seconds(11)};
+    std::size_t readers{2};
+    std::size_t subset_size{8};
+    std::string log_level{"info"};
+    bounds limits;
+    peer_keys keys;
+};
+
+/// @brief Parses and checks settings.
+/// @param file name shown in the messages.
+/// @return the settings, or an invalid-argument status with every mistake.
+absl::StatusOr<settings> parse_settings(std::string_view text,
+                                        std::string_view file);
+
+/// @brief Reads a file.
+/// @return its text, or a not-found status that names it.
+absl::StatusOr<std::string> read_file(const std::string& path);
+
+} // namespace jujubespan::config
+
+#endif
--- /dev/null
+++ b/include/jujubespan/engine/answer.hpp
@@ -0,0 +1,91 @@
+#ifndef JUJUBESPAN_ENGINE_ANSWER_HPP
+#define JUJUBESPAN_ENGINE_ANSWER_HPP
+
+#include "jujubespan/policy/http_message.hpp"
+#include "jujubespan/policy/shed_level.hpp"
+#include "jujubespan/policy/time.hpp"
+#include "jujubespan/policy/upstream_set.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace jujubespan::engine
+{
+
+/// @brief What became of a request; callers can tell these apart.
+enum class outcome : std::uint8_t
+{
+    answered, ///< The backend server's whole answer.
+    not_run,  ///< Refused; no backend server was sent any of it.
+    unknown,  ///< May have run.
+    rejected  ///< The request itself is wrong; it was not run.
+};
+
+/// @brief Why a request was not answered.
+enum class reason : std::uint8_t
+{
+    none,
+    overload,            ///< Above the admission level of this service.
+    downstream_overload, ///< Above the level of a service behind this one.
+    queue_full,
+    in_flight_bound,
+    customer_limit,
+    caller_retries,
+    leaving,
+    no_configuration,
+    deadline,
+    depth,
+    loop,
+    unknown_customer,
+    unknown_method,
+    internal_method,
+    unknown_token,
+    no_upstream,
+    backend_unreachable,
+    backend_failed,
+    peer_lost,
+    cancelled,
+    duplicate,
+    ticket_required,
+    ticket_invalid,
+    ticket_mismatch,
+    ticket_expired,
+    ticket_owner_gone,
+    ticket_already_run,
+    ticket_memory_full,
+    repeatable_parent, ///< Not idempotent, below an idempotent request.
+    malformed,
+    last = malformed
+};
+
+std::string_view to_string(outcome value);
+std::string_view to_string(reason value);
+
+/// @brief The result of one call, on its way back.
+struct answer
+{
+    outcome result{outcome::answered};
+    engine::reason reason{engine::reason::none};
+    http_response response;
+    std::uint32_t credits_unspent{0};
+    shed_level level{open_level}; ///< Of the subtree that answered.
+    bool elsewhere_may_help{false};
+    duration retry_after{};
+    bool leaving{false};
+    upstream_load load;
+    std::string next_ticket; ///< For the caller's next request.
+};
+
+/// @brief A refusal of a request that was not run.
+answer refuse(reason why, bool elsewhere_may_help = false);
+
+/// @brief A request that may have run.
+answer unknown_outcome(reason why);
+
+/// @brief A request that is wrong.
+answer reject(reason why);
+
+} // namespace jujubespan::engine
+
+#endif
--- /dev/null
+++ b/include/jujubespan/engine/call.hpp
@@ -0,0 +1,101 @@
+#ifndef JUJUBESPAN_ENGINE_CALL_HPP
+#define JUJUBESPAN_ENGINE_CALL_HPP
+
+#include "jujubespan/engine/answer.hpp"
+#include "jujubespan/policy/http_message.hpp"
+#include "jujubespan/policy/request_class.hpp"
+#include "jujubespan/policy/shed_level.hpp"
+#include "jujubespan/policy/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubespan::engine
+{
+
+/// @brief What every call of a chain inherits from its root.
+struct call_context
+{
+    std::string request_id;
+    std::string customer;
+    request_class cls{request_class::normal};
+    shed_key key{0};
+    time_point deadline{};
+    std::uint32_t credits{0};
+    std::uint32_t depth{0}; ///< Zero for the root.
+    bool idempotent{false};
+    std::string ticket;              ///< Text form; may be empty.
+    std::vector<std::uint32_t> path; ///< Hashes of the calls above.
+};
+
+/// @brief A call as it travels to the node of another instance.
+struct peer_call
+{
+    std::uint64_t id{0};
+    std::string service;
+    call_context context;
+    http_request request;
+    bool forwarded{false}; ///< Sent on by a node of the same service.
+};
+
+/// @brief Where an answer goes.
+class reply_port
+{
+public:
+    virtual ~reply_port() = default;
+
+    /// @brief Sends the only answer of an exchange.
+    virtual void reply(std::uint64_t exchange, const answer& value,
+                       std::string_view request_id) = 0;
+};
+
+/// @brief One exchange at a port.
+struct reply_to
+{
+    reply_port* port{nullptr};
+    std::uint64_t exchange{0};
+
+    bool operator==(const reply_to&) const = default;
+};
+
+/// @brief How an exchange with the backend server ended.
+enum class backend_end
+{
+    answered,
+    unreachable, ///< No byte of the request was sent.
+    failed       ///< Sent, but no whole answer came.
+};
+
+/// @brief The backend server of this node.
+class backend_port
+{
+public:
+    virtual ~backend_port() = default;
+
+    /// @brief Sends a request; the end is reported to the engine.
+    virtual void start(std::uint64_t call, const http_request& request) = 0;
+
+    /// @brief Gives up a request; its end is not reported.
+    virtual void cancel(std::uint64_t call) = 0;
+};
+
+/// @brief The nodes of other instances.
+class peer_port
+{
+public:
+    virtual ~peer_port() = default;
+
+    /// @brief Sends a call.
+    /// @return false when nothing was sent or will be.
+    virtual bool call(std::string_view peer, const peer_call& value,
+                      time_point now) = 0;
+
+    /// @brief Withdraws a call that was sent.
+    virtual void cancel(std::string_view peer, std::uint64_t call) = 0;
+};
+
+} // namespace jujubespan::engine
+
+#endif
--- /dev/null
+++ b/include/jujubespan/node/control_loop.hpp
@@ -0,0 +1,108 @@
+#ifndef JUJUBESPAN_NODE_CONTROL_LOOP_HPP
+#define JUJUBESPAN_NODE_CONTROL_LOOP_HPP
+
+#include "jujubespan/node/topic_store.hpp"
+#include "jujubespan/node/traffic_loop.hpp"
+#include "jujubespan/operators/operator_endpoint.hpp"
+#include "jujubespan/peer/control_transport.hpp"
+#include "jujubespan/platform/platform_client.hpp"
+#include "jujubespan/policy/control_plane.hpp"
+#include "jujubespan/policy/pause_detector.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/status.h>
+
+#include <QTimer>
+
+#include <cstdint>
+#include <random>
+
+namespace jujubespan::node
+{
+
+/// @brief Configuration, membership and operators; lives on the control
+/// thread.
+class control_loop final : private peer::control_handler,
+                           private platform::platform_handler,
+                           private operators::report_source
+{
+public:
+    /// @param traffic outlives the loop.
+    control_loop(const config::settings& options, std::uint64_t incarnation,
+                 zmq::context_t& context, traffic_loop& traffic);
+
+    absl::Status start();
+
+    /// @brief Tells the peers that this node is leaving.
+    void begin_drain();
+
+private:
+    struct borrow_state
+    {
+        std::string customer;
+        time_point asked_at{};
+    };
+
+    // Messages of peers.
+    void on_heartbeat(std::string_view peer, std::uint64_t incarnation,
+                      const peer::heartbeat& value) override;
+    void on_fetch(std::string_view peer, topic which,
+                  std::uint64_t after) override;
+    void on_delta(std::string_view peer, topic which,
+                  const versioned_delta& delta) override;
+    void on_borrow(std::string_view peer,
+                   const peer::rate_lease& request) override;
+    void on_grant(const peer::rate_lease& grant) override;
+
+    // Answers of the platform.
+    void on_platform_delta(topic which, const versioned_delta& delta) override;
+    void on_platform_failure(topic which, const absl::Status& why) override;
+    std::uint64_t revision(topic which) const override
+    {
+        return store_.revision(which);
+    }
+
+    // Questions of operators.
+    operators::node_report report() override;
+    std::vector<engine::decision>
+    decisions(std::string_view request_id) override;
+
+    store_result apply(topic which, const versioned_delta& delta,
+                       std::string_view source);
+    void publish(topic which);
+    void choose_peers();
+    void choose_reader();
+    void note_contact(std::string_view peer);
+    void on_tick();
+    void send_heartbeats(time_point now);
+    void broadcast();
+    void ask_for_shares(time_point now);
+    [[nodiscard]] peer::heartbeat present() const;
+    [[nodiscard]] duration heartbeat_interval() const;
+
+    config::settings options_;
+    std::uint64_t incarnation_;
+    traffic_loop& traffic_;
+    std::mt19937_64 random_;
+    topic_store store_;
+    peer::control_transport peers_;
+    platform::platform_client platform_;
+    operators::operator_endpoint operators_;
+    fallback_reader fallback_;
+    pause_detector pauses_;
+    QTimer tick_timer_;
+    std::vector<std::string> neighbours_;
+    std::vector<std::string> own_domain_;
+    std::size_t next_neighbour_{0};
+    std::size_t next_lender_{0};
+    time_point next_heartbeat_{};
+    time_point next_borrow_{};
+    bool leaving_{false};
+    std::uint64_t next_borrow_id_{1};
+    absl::flat_hash_map<std::uint64_t, borrow_state> borrows_;
+    string_map<std::uint64_t> incarnations_;
+};
+
+} // namespace jujubespan::node
+
+#endif
--- /dev/null
+++ b/include/jujubespan/peer/codec.hpp
@@ -0,0 +1,36 @@
+#ifndef JUJUBESPAN_PEER_CODEC_HPP
+#define JUJUBESPAN_PEER_CODEC_HPP
+
+#include "jujubespan/engine/call.hpp"
+#include "jujubespan/policy/versioned_map.hpp"
+
+#include <optional>
+
+namespace jujubespan::peer
+{
+
+namespace v1
+{
+class Call;
+class Delta;
+class Reply;
+} // namespace v1
+
+/// @brief Writes a call; its deadline becomes the time that remains.
+void encode(const engine::peer_call& value, time_point now, v1::Call& out);
+
+/// @brief Reads a call.
+/// @return empty when a field is out of range.
+std::optional<engine::peer_call> decode(const v1::Call& in, time_point now);
+
+void encode(const engine::answer& value, v1::Reply& out);
+
+/// @return empty when a field is out of range.
+std::optional<engine::answer> decode(const v1::Reply& in);
+
+void encode(topic which, const versioned_delta& value, v1::Delta& out);
+versioned_delta decode(const v1::Delta& in);
+
+} // namespace jujubespan::peer
+
+#endif
--- /dev/null
+++ b/include/jujubespan/peer/control_transport.hpp
@@ -0,0 +1,99 @@
+#ifndef JUJUBESPAN_PEER_CONTROL_TRANSPORT_HPP
+#define JUJUBESPAN_PEER_CONTROL_TRANSPORT_HPP
+
+#include "jujubespan/peer/messenger.hpp"
+#include "jujubespan/policy/upstream_set.hpp"
+#include "jujubespan/policy/versioned_map.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace jujubespan::peer
+{
+
+/// @brief State of a node and digest of its topics.
+struct heartbeat
+{
+    bool leaving{false};
+    std::uint64_t contracts_revision{0};
+    std::uint64_t instances_revision{0};
+    upstream_load load;
+
+    [[nodiscard]] std::uint64_t revision(topic which) const
+    {
+        return which == topic::contracts ? contracts_revision
+                                         : instances_revision;
+    }
+};
+
+/// @brief A request for, or the grant of, part of a customer's rate.
+struct rate_lease
+{
+    std::uint64_t id{0};
+    std::string customer;
+    double rate{0}; ///< Requests a second.
+};
+
+/// @brief Receives control messages of peers.
+class control_handler
+{
+public:
+    virtual ~control_handler() = default;
+
+    virtual void on_heartbeat(std::string_view peer, std::uint64_t incarnation,
+                              const heartbeat& value) = 0;
+    virtual void on_fetch(std::string_view peer, topic which,
+                          std::uint64_t after) = 0;
+    virtual void on_delta(std::string_view peer, topic which,
+                          const versioned_delta& delta) = 0;
+    virtual void on_borrow(std::string_view peer,
+                           const rate_lease& request) = 0;
+    virtual void on_grant(const rate_lease& grant) = 0;
+};
+
+/// @brief Control messages between nodes, on the control thread.
+class control_transport final : private message_handler
+{
+public:
+    /// @param handler outlives the transport.
+    control_transport(zmq::context_t& context, const config::settings& options,
+                      std::uint64_t incarnation, control_handler& handler);
+
+    absl::Status bind(const config::endpoint& address);
+    void set_peers(std::span<const peer_address> peers);
+    void on_tick(time_point now) { messenger_.expire(now); }
+
+    void send(std::string_view peer, const heartbeat& value);
+    void fetch(std::string_view peer, topic which, std::uint64_t after);
+    void send(std::string_view peer, topic which, const versioned_delta& delta);
+    void borrow(std::string_view peer, const rate_lease& request);
+    void grant(std::string_view peer, const rate_lease& value);
+
+    [[nodiscard]] const messenger_counters& counters() const
+    {
+        return messenger_.counters();
+    }
+    [[nodiscard]] std::size_t connections() const
+    {
+        return messenger_.connections();
+    }
+
+private:
+    void transmit(std::string_view peer, v1::Envelope& message);
+    void on_message(const v1::Envelope& message, const route& from) override;
+    void on_lost(std::string_view /*peer*/) override {}
+    void on_unsent(std::string_view /*peer*/,
+                   const v1::Envelope& /*message*/) override
+    {
+    }
+
+    control_handler& handler_;
+    messenger messenger_;
+    string_map<route> routes_;
+};
+
+} // namespace jujubespan::peer
+
+#endif
--- /dev/null
+++ b/include/jujubespan/peer/zmq_socket.hpp
@@ -0,0 +1,61 @@
+#ifndef JUJUBESPAN_PEER_ZMQ_SOCKET_HPP
+#define JUJUBESPAN_PEER_ZMQ_SOCKET_HPP
+
+#include "jujubespan/config/settings.hpp"
+
+#include <QObject>
+#include <QSocketNotifier>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <zmq.hpp>
+
+namespace jujubespan::peer
+{
+
+/// @brief A ZeroMQ socket on the event loop of its thread.
+///
+/// ZeroMQ's descriptor is edge triggered: after each send and receive the
+/// socket is looked at again.
+class zmq_socket
+{
+public:
+    /// @param on_readable receives until there is nothing left.
+    zmq_socket(zmq::context_t& context, zmq::socket_type type,
+               std::function<void()> on_readable);
+
+    [[nodiscard]] zmq::socket_t& raw() { return socket_; }
+
+    /// @brief Sends without waiting.
+    /// @return false when nothing was sent.
+    bool send(zmq::message_t message, bool more = false);
+
+    /// @brief Receives without waiting; empty when there is nothing.
+    zmq::recv_result_t receive(zmq::message_t& message);
+
+    /// @brief Starts watching, once bound or connected.
+    void watch();
+
+private:
+    void schedule();
+
+    zmq::socket_t socket_;
+    std::function<void()> on_readable_;
+    QObject guard_;
+    std::unique_ptr<QSocketNotifier> notifier_;
+    bool scheduled_{false};
+};
+
+/// @brief Sets bounds and, when keys are given, encryption of a socket that
+/// binds.
+void configure_server(zmq::socket_t& socket, const config::peer_keys& keys);
+
+/// @brief Sets bounds and, when keys are given, encryption.
+/// @param server_key public key of the peer to connect to.
+void configure_client(zmq::socket_t& socket, const config::peer_keys& keys,
+                      std::string_view server_key);
+
+} // namespace jujubespan::peer
+
+#endif
--- /dev/null
+++ b/include/jujubespan/policy/admission_queue.hpp
@@ -0,0 +1,96 @@
+#ifndef JUJUBESPAN_POLICY_ADMISSION_QUEUE_HPP
+#define JUJUBESPAN_POLICY_ADMISSION_QUEUE_HPP
+
+#include "jujubespan/policy/shed_level.hpp"
+#include "jujubespan/policy/time.hpp"
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace jujubespan
+{
+
+/// @brief A call that waits for a slot of the backend server.
+struct queued_call
+{
+    std::uint64_t id{0};
+    shed_key key{0};
+    bool under_way{false}; ///< Another service has already done work for it.
+    time_point arrived{};
+    time_point deadline{};
+};
+
+/// @brief Outcome of offering a call to the queue.
+struct offer_result
+{
+    bool accepted{false};
+    std::optional<std::uint64_t> evicted; ///< Removed to make room.
+};
+
+/// @brief Priority queue bounded by waiting time.
+///
+/// Order: class, calls under way before new ones, shed key, arrival. The
+/// bound is the number of calls that complete within the target wait; a call
+/// of higher priority evicts the one of lowest priority.
+class admission_queue
+{
+public:
+    /// @param target_wait wait that the bound allows at the present rate.
+    /// @param hard_limit most calls queued at any rate.
+    admission_queue(duration target_wait, std::size_t hard_limit);
+
+    offer_result offer(const queued_call& call);
+
+    /// @brief Removes and returns the call to run next.
+    ///
+    /// Calls that cannot finish before their deadline are moved to `expired`.
+    std::optional<queued_call> pop(time_point now,
+                                   std::vector<std::uint64_t>& expired);
+
+    /// @brief Removes calls that cannot finish before their deadline.
+    std::vector<std::uint64_t> take_expired(time_point now);
+
+    /// @brief Removes a call; false when it is not queued.
+    bool remove(std::uint64_t id);
+
+    /// @brief Reports the measured rate and time of service.
+    void on_rate(double completions_per_second, duration service_time);
+
+    [[nodiscard]] std::size_t size() const { return order_.size(); }
+    [[nodiscard]] bool empty() const { return order_.empty(); }
+    [[nodiscard]] std::size_t bound() const { return bound_; }
+
+    /// @brief Longest present wait; zero when empty.
+    [[nodiscard]] duration oldest_wait(time_point now) const;
+
+private:
+    struct priority
+    {
+        std::uint64_t rank;
+        std::uint64_t sequence;
+        std::uint64_t id;
+
+        auto operator<=>(const priority&) const = default;
+    };
+
+    static std::uint64_t rank_of(const queued_call& call);
+    [[nodiscard]] bool hopeless(const queued_call& call, time_point now) const;
+    void erase(const priority& entry);
+
+    duration target_wait_;
+    std::size_t hard_limit_;
+    std::size_t bound_;
+    duration service_time_{};
+    std::uint64_t next_sequence_{0};
+    absl::btree_set<priority> order_;
+    absl::flat_hash_map<std::uint64_t, std::pair<priority, queued_call>> calls_;
+    absl::btree_set<std::pair<time_point, std::uint64_t>> by_arrival_;
+};
+
+} // namespace jujubespan
+
+#endif
--- /dev/null
+++ b/include/jujubespan/policy/http_message.hpp
@@ -0,0 +1,58 @@
+#ifndef JUJUBESPAN_POLICY_HTTP_MESSAGE_HPP
+#define JUJUBESPAN_POLICY_HTTP_MESSAGE_HPP
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubespan
+{
+
+/// @brief One HTTP header field.
+struct http_header
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const http_header&) const = default;
+};
+
+/// @brief A whole HTTP request.
+struct http_request
+{
+    std::string verb;
+    std::string target; ///< Path and query.
+    std::vector<http_header> headers;
+    std::string body;
+
+    bool operator==(const http_request&) const = default;
+};
+
+/// @brief A whole HTTP response.
+struct http_response
+{
+    unsigned status{0};
+    std::vector<http_header> headers;
+    std::string body;
+
+    bool operator==(const http_response&) const = default;
+};
+
+/// @brief Value of the first header with a name, in any case of letters;
+/// empty when there is none.
+std::string_view find_header(std::span<const http_header> headers,
+                             std::string_view name);
+
+/// @brief True when two header names are equal in any case of letters.
+bool same_header_name(std::string_view a, std::string_view b);
+
+/// @brief Part of a target before `?`.
+std::string_view path_of(std::string_view target);
+
+/// @brief Memory that the text of a response takes.
+std::size_t byte_size(const http_response& response);
+
+} // namespace jujubespan
+
+#endif
--- /dev/null
+++ b/include/jujubespan/policy/shed_level.hpp
@@ -0,0 +1,77 @@
+#ifndef JUJUBESPAN_POLICY_SHED_LEVEL_HPP
+#define JUJUBESPAN_POLICY_SHED_LEVEL_HPP
+
+#include "jujubespan/policy/request_class.hpp"
+#include "jujubespan/policy/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace jujubespan
+{
+
+/// @brief Order in which requests are refused: class first, then a position
+/// within the class. Higher keys are refused earlier.
+using shed_key = std::uint32_t;
+
+/// @brief Requests with `key < level` are admitted.
+using shed_level = std::uint32_t;
+
+inline constexpr shed_key keys_per_class = 128;
+inline constexpr shed_level open_level = keys_per_class * request_class_count;
+
+/// @brief Computes the key of a request.
+///
+/// The position within the class depends on the request id alone, so that
+/// every node of the chain refuses the same requests. It is scaled by the
+/// customer's use of its contract: a customer at a fifth of its rate only has
+/// positions in the first fifth and is refused last.
+/// @param use offered rate over contract rate; clamped to [0, 1].
+shed_key make_shed_key(request_class cls, std::string_view request_id,
+                       double use);
+
+/// @brief Class of a key.
+request_class class_of(shed_key key);
+
+/// @brief What one control interval of a node looked like.
+struct load_sample
+{
+    std::uint32_t completed{0}; ///< Calls finished in the interval.
+    std::uint32_t dropped{0};   ///< Calls dropped or evicted from the queue.
+    duration oldest_wait{};     ///< Age of the oldest queued call.
+    bool queue_was_empty{true}; ///< The queue emptied in the interval.
+};
+
+/// @brief Chooses the admission level of one node from what it was offered.
+///
+/// Under overload the level falls to where the offered keys fit the rate of
+/// completions; otherwise it rises in steps that double, so that a closed
+/// level is open again in less than a second.
+class shed_controller
+{
+public:
+    /// @brief Counts a call that was offered, whether admitted or not.
+    void on_offered(shed_key key);
+
+    /// @brief Ends a control interval.
+    /// @return the level in force until the next call.
+    shed_level update(const load_sample& sample);
+
+    [[nodiscard]] shed_level level() const { return level_; }
+
+    /// @brief Forgets the interval in progress, as after a pause.
+    void reset();
+
+private:
+    [[nodiscard]] shed_level level_for(double budget) const;
+
+    std::array<double, open_level> offered_{};
+    double completed_{0};
+    shed_level level_{open_level};
+    shed_level step_{1};
+};
+
+} // namespace jujubespan
+
+#endif
--- /dev/null
+++ b/include/jujubespan/policy/string_map.hpp
@@ -0,0 +1,30 @@
+#ifndef JUJUBESPAN_POLICY_STRING_MAP_HPP
+#define JUJUBESPAN_POLICY_STRING_MAP_HPP
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace jujubespan
+{
+
+/// @brief Hash that lets maps be searched by views.
+struct string_hash
+{
+    using is_transparent = void;
+
+    std::size_t operator()(std::string_view text) const
+    {
+        return std::hash<std::string_view>{}(text);
+    }
+};
+
+/// @brief Hash map from strings, searched by views without a copy.
+template <typename T>
+using string_map =
+    std::unordered_map<std::string, T, string_hash, std::equal_to<>>;
+
+} // namespace jujubespan
+
+#endif
--- /dev/null
+++ b/src/jujubespan/backend/backend_client.cpp
@@ -0,0 +1,49 @@
+#include "jujubespan/backend/backend_client.hpp"
+
+namespace jujubespan::backend
+{
+
+namespace
+{
+
+engine::backend_end to_engine(http::client_end end)
+{
+    switch (end)
+    {
+    case http::client_end::answered:
+        return engine::backend_end::answered;
+    case http::client_end::unreachable:
+        return engine::backend_end::unreachable;
+    case http::client_end::failed:
+        break;
+    }
+    return engine::backend_end::failed;
+}
+
+} // namespace
+
+backend_client::backend_client(const config::settings& options)
+    : client_(options.backend_address,
+              {options.limits.max_header_bytes, options.limits.max_body_bytes},
+              options.slots, *this)
+{
+}
+
+void backend_client::start(std::uint64_t call, const http_request& request)
+{
+    client_.start(call, request);
+}
+
+void backend_client::cancel(std::uint64_t call)
+{
+    client_.cancel(call);
+}
+
+void backend_client::on_end(std::uint64_t exchange, http::client_end end,
+                            http_response response)
+{
+    calls_->on_backend_end(exchange, to_engine(end), std::move(response),
+                           boot_clock::now());
+}
+
+} // namespace jujubespan::backend
--- /dev/null
+++ b/src/jujubespan/config/settings.cpp
@@ -0,0 +1,227 @@
+#include "jujubespan/config/settings.hpp"
+
+#include "jujubespan/config/object_reader.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace jujubespan::config
+{
+
+namespace
+{
+
+constexpr std::size_t z85_key_size = 40;
+constexpr std::array<std::string_view, 4> log_levels{"debug", "info", "warn",
+                                                     "error"};
+
+std::optional<endpoint> parse_endpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+    {
+        return std::nullopt;
+    }
+    endpoint value;
+    value.host = text.substr(0, colon);
+    const auto port = text.substr(colon + 1);
+    const char* end = port.data() + port.size();
+    const auto [stop, error] = std::from_chars(port.data(), end, value.port);
+    const bool numeric = std::all_of(value.host.begin(), value.host.end(),
+                                     [](char c)
+                                     {
+                                         return (c >= '0' && c <= '9') ||
+                                                (c >= 'a' && c <= 'f') ||
+                                                c == '.' || c == ':' ||
+                                                c == '[' || c == ']';
+                                     });
+    if (error != std::errc{} || stop != end || value.port == 0 || !numeric)
+    {
+        return std::nullopt;
+    }
+    return value;
+}
+
+endpoint read_endpoint(object_reader& reader, std::string_view key)
+{
+    const auto text = reader.required_string(key);
+    const auto value = parse_endpoint(text);
+    if (!text.empty() && !value)
+    {
+        reader.fail(key, fmt::format("\"{}\" must be an IP number, ':' and a "
+                                     "port of 1 to 65535",
+                                     text));
+    }
+    return value.value_or(endpoint{});
+}
+
+bounds read_bounds(object_reader& reader)
+{
+    bounds value;
+    value.max_body_bytes =
+        reader.integer_or("max_body_bytes", 1 << 20, 1024, 16 << 20);
+    value.max_header_bytes =
+        reader.integer_or("max_header_bytes", 16 << 10, 1024, 256 << 10);
+    value.max_connections =
+        reader.integer_or("max_connections", 1400, 1, 20'000);
+    value.max_in_flight = reader.integer_or("max_in_flight", 2048, 1, 20'000);
+    value.max_queue = reader.integer_or("max_queue", 512, 4, 10'000);
+    value.idle_timeout =
+        reader.milliseconds_or("idle_timeout_ms", 60'000, 100, 3'600'000);
+    value.receive_timeout =
+        reader.milliseconds_or("receive_timeout_ms", 10'000, 100, 300'000);
+    return value;
+}
+
+void check_key(object_reader& reader, std::string_view key,
+               std::string_view value)
+{
+    if (!value.empty() && value.size() != z85_key_size)
+    {
+        reader.fail(key, fmt::format("must be a key of {} Z85 characters",
+                                     z85_key_size));
+    }
+}
+
+peer_keys read_keys(object_reader& reader)
+{
+    peer_keys value;
+    value.public_key = reader.string_or("peer_public_key", "");
+    value.secret_key = reader.string_or("peer_secret_key", "");
+    value.trusted = reader.strings_or_empty("peer_trusted_keys");
+    check_key(reader, "peer_public_key", value.public_key);
+    check_key(reader, "peer_secret_key", value.secret_key);
+    for (const auto& key : value.trusted)
+    {
+        check_key(reader, "peer_trusted_keys", key);
+    }
+    if (value.public_key.empty() != value.secret_key.empty())
+    {
+        reader.fail("peer_public_key",
+                    "needs peer_secret_key, and the other way round");
+    }
+    if (value.enabled() && value.trusted.empty())
+    {
+        reader.fail("peer_trusted_keys",
+                    "must name at least one key when peer_public_key is set");
+    }
+    return value;
+}
+
+std::vector<seed> read_seeds(object_reader& reader)
+{
+    std::vector<seed> seeds;
+    for (const auto& text : reader.strings_or_empty("seeds"))
+    {
+        const auto at = text.find('@');
+        const auto value =
+            at == std::string::npos
+                ? std::nullopt
+                : parse_endpoint(std::string_view(text).substr(at + 1));
+        if (!value || at == 0)
+        {
+            reader.fail("seeds",
+                        fmt::format("\"{}\" must be a node id, '@', an IP "
+                                    "number, ':' and a port",
+                                    text));
+            continue;
+        }
+        seeds.push_back({text.substr(0, at), *value});
+    }
+    return seeds;
+}
+
+void check_domains(object_reader& reader, const settings& value)
+{
+    const auto& all = value.failure_domains;
+    if (std::find(all.begin(), all.end(), value.failure_domain) == all.end())
+    {
+        reader.fail("failure_domains",
+                    fmt::format("must contain the failure_domain \"{}\"",
+                                value.failure_domain));
+    }
+}
+
+} // namespace
+
+std::string to_string(const endpoint& value)
+{
+    return fmt::format("{}:{}", value.host, value.port);
+}
+
+absl::StatusOr<settings> parse_settings(std::string_view text,
+                                        std::string_view file)
+{
+    diagnostics errors{std::string(file)};
+    const auto document = parse_json(text, errors);
+    if (!document)
+    {
+        return errors.status();
+    }
+    object_reader reader(*document, "", errors);
+    settings value;
+    value.id = reader.required_string("id");
+    if (value.id.find('~') != std::string::npos)
+    {
+        reader.fail("id", "must not contain '~'");
+    }
+    value.service = reader.required_string("service");
+    value.failure_domain = reader.required_string("failure_domain");
+    value.failure_domains = reader.strings_or_empty("failure_domains");
+    check_domains(reader, value);
+    value.caller_address = read_endpoint(reader, "caller_address");
+    value.outbound_address = read_endpoint(reader, "outbound_address");
+    value.call_address = read_endpoint(reader, "call_address");
+    value.control_address = read_endpoint(reader, "control_address");
+    value.operators_address = read_endpoint(reader, "operators_address");
+    value.backend_address = read_endpoint(reader, "backend_address");
+    value.platform_address = read_endpoint(reader, "platform_address");
+    value.seeds = read_seeds(reader);
+    value.slots =
+        static_cast<std::uint32_t>(reader.required_integer("slots", 1, 10'000));
+    value.protection = reader.bool_or("protection", true);
+    value.cold_start = reader.milliseconds_or("cold_start_ms", 0, 0, 600'000);
+    value.queue_wait = reader.milliseconds_or("queue_wait_ms", 100, 1, 10'000);
+    value.drain_timeout =
+        reader.milliseconds_or("drain_timeout_ms", 30'000, 100, 600'000);
+    value.list_lag =
+        reader.milliseconds_or("list_lag_ms", 11'000, 100, 3'600'000);
+    value.readers = reader.integer_or("readers", 2, 1, 16);
+    value.subset_size = reader.integer_or("subset_size", 8, 2, 256);
+    value.log_level = reader.string_or("log_level", "info");
+    if (std::find(log_levels.begin(), log_levels.end(), value.log_level) ==
+        log_levels.end())
+    {
+        reader.fail("log_level",
+                    fmt::format("\"{}\" is not one of {}", value.log_level,
+                                fmt::join(log_levels, ", ")));
+    }
+    value.limits = read_bounds(reader);
+    value.keys = read_keys(reader);
+    reader.finish();
+    if (!errors.ok())
+    {
+        return errors.status();
+    }
+    return value;
+}
+
+absl::StatusOr<std::string> read_file(const std::string& path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream)
+    {
+        return absl::NotFoundError(
+            fmt::format("{}: the file cannot be opened", path));
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+} // namespace jujubespan::config
--- /dev/null
+++ b/src/jujubespan/engine/admission_gate.cpp
@@ -0,0 +1,137 @@
+#include "jujubespan/engine/admission_gate.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace jujubespan::engine
+{
+
+namespace
+{
+
+constexpr duration control_interval = std::chrono::milliseconds(100);
+constexpr double rate_weight = 0.3;
+constexpr double service_time_weight = 0.05;
+
+} // namespace
+
+admission_gate::admission_gate(std::unique_ptr<concurrency_limit> limit,
+                               duration queue_wait, std::size_t max_queue)
+    : limit_(std::move(limit)), queue_(queue_wait, max_queue)
+{
+}
+
+std::uint32_t admission_gate::limit(time_point now) const
+{
+    return limit_ ? limit_->limit(now)
+                  : std::numeric_limits<std::uint32_t>::max();
+}
+
+void admission_gate::count_start(time_point now)
+{
+    ++running_;
+    if (limit_)
+    {
+        limit_->on_start(running_, now);
+    }
+}
+
+gate_result admission_gate::offer(const queued_call& call, time_point now)
+{
+    controller_.on_offered(call.key);
+    gate_result result;
+    if (running_ < limit(now) && queue_.empty())
+    {
+        count_start(now);
+        result.verdict = gate_verdict::run;
+        return result;
+    }
+    const offer_result offered = queue_.offer(call);
+    const bool dropped = !offered.accepted || offered.evicted;
+    sample_.dropped += dropped ? 1 : 0;
+    result.evicted = offered.evicted;
+    result.verdict =
+        offered.accepted ? gate_verdict::queued : gate_verdict::refused;
+    return result;
+}
+
+void admission_gate::on_finish(duration self_time, bool completed,
+                               time_point now)
+{
+    running_ -= running_ > 0 ? 1 : 0;
+    sample_.completed += completed ? 1 : 0;
+    if (limit_ && completed)
+    {
+        limit_->on_finish(self_time, now);
+    }
+    service_time_ =
+        service_time_ == 0
+            ? seconds(self_time)
+            : service_time_ +
+                  service_time_weight * (seconds(self_time) - service_time_);
+}
+
+void admission_gate::on_backend_refusal(time_point now)
+{
+    if (limit_)
+    {
+        limit_->on_refused(now);
+    }
+    sample_.dropped += 1;
+}
+
+gate_release admission_gate::release(time_point now)
+{
+    gate_release result;
+    while (running_ < limit(now))
+    {
+        const auto call = queue_.pop(now, result.expired);
+        if (!call)
+        {
+            break;
+        }
+        count_start(now);
+        result.run.push_back(call->id);
+    }
+    sample_.dropped += static_cast<std::uint32_t>(result.expired.size());
+    sample_.queue_was_empty = sample_.queue_was_empty || queue_.empty();
+    return result;
+}
+
+std::vector<std::uint64_t> admission_gate::tick(time_point now)
+{
+    if (interval_start_ == time_point{})
+    {
+        interval_start_ = now;
+    }
+    const duration elapsed = now - interval_start_;
+    if (elapsed < control_interval)
+    {
+        return {};
+    }
+    interval_start_ = now;
+    auto expired = queue_.take_expired(now);
+    sample_.dropped += static_cast<std::uint32_t>(expired.size());
+    sample_.oldest_wait = queue_.oldest_wait(now);
+    sample_.queue_was_empty = sample_.queue_was_empty || queue_.empty();
+    controller_.update(sample_);
+    const double rate = sample_.completed / seconds(elapsed);
+    rate_ += rate_weight * (rate - rate_);
+    queue_.on_rate(std::max(rate, rate_), from_seconds(service_time_));
+    sample_ = {};
+    sample_.queue_was_empty = queue_.empty();
+    return expired;
+}
+
+void admission_gate::reset(time_point now)
+{
+    controller_.reset();
+    if (limit_)
+    {
+        limit_->reset(now);
+    }
+    sample_ = {};
+    interval_start_ = now;
+}
+
+} // namespace jujubespan::engine
--- /dev/null
+++ b/src/jujubespan/engine/answer.cpp
@@ -0,0 +1,87 @@
+#include "jujubespan/engine/answer.hpp"
+
+#include <array>
+
+namespace jujubespan::engine
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 4> outcome_names{"answered", "not-run",
+                                                        "unknown", "rejected"};
+
+constexpr std::array reason_names = std::to_array<std::string_view>({
+    "none",
+    "overload",
+    "downstream-overload",
+    "queue-full",
+    "in-flight-bound",
+    "customer-limit",
+    "caller-retries",
+    "leaving",
+    "no-configuration",
+    "deadline",
+    "depth",
+    "loop",
+    "unknown-customer",
+    "unknown-method",
+    "internal-method",
+    "unknown-token",
+    "no-upstream",
+    "backend-unreachable",
+    "backend-failed",
+    "peer-lost",
+    "cancelled",
+    "duplicate",
+    "ticket-required",
+    "ticket-invalid",
+    "ticket-mismatch",
+    "ticket-expired",
+    "ticket-owner-gone",
+    "ticket-already-run",
+    "ticket-memory-full",
+    "repeatable-parent",
+    "malformed",
+});
+static_assert(reason_names.size() ==
+              static_cast<std::size_t>(reason::last) + 1);
+
+answer make(outcome result, reason why)
+{
+    answer value;
+    value.result = result;
+    value.reason = why;
+    return value;
+}
+
+} // namespace
+
+std::string_view to_string(outcome value)
+{
+    return outcome_names[static_cast<std::size_t>(value)];
+}
+
+std::string_view to_string(reason value)
+{
+    return reason_names[static_cast<std::size_t>(value)];
+}
+
+answer refuse(reason why, bool elsewhere_may_help)
+{
+    answer value = make(outcome::not_run, why);
+    value.elsewhere_may_help = elsewhere_may_help;
+    return value;
+}
+
+answer unknown_outcome(reason why)
+{
+    return make(outcome::unknown, why);
+}
+
+answer reject(reason why)
+{
+    return make(outcome::rejected, why);
+}
+
+} // namespace jujubespan::engine
--- /dev/null
+++ b/src/jujubespan/engine/call_engine.cpp
@@ -0,0 +1,527 @@
+#include "jujubespan/engine/call_engine.hpp"
+
+#include "jujubespan/engine/http_mapping.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace jujubespan::engine
+{
+
+namespace
+{
+
+constexpr duration pause_threshold = std::chrono::milliseconds(500);
+constexpr duration housekeeping_interval = std::chrono::seconds(1);
+constexpr std::size_t decision_capacity = 4096;
+constexpr duration retry_after_base = std::chrono::seconds(1);
+
+std::unique_ptr<concurrency_limit> make_limit(const config::settings& options)
+{
+    if (!options.protection)
+    {
+        return nullptr;
+    }
+    return make_adaptive_limit(options.slots, options.cold_start);
+}
+
+std::string random_key(std::mt19937_64& random)
+{
+    return fmt::format("{:016x}{:016x}", random(), random());
+}
+
+} // namespace
+
+call_engine::call_engine(const config::settings& options,
+                         std::uint64_t incarnation, std::uint64_t seed,
+                         backend_port& backend, peer_port& peers,
+                         time_point now)
+    : options_(options), backend_(backend), peers_(peers), random_(seed),
+      pauses_(pause_threshold),
+      gate_(make_limit(options), options.queue_wait, options.limits.max_queue),
+      customers_(options.id, options.failure_domain,
+                 options.failure_domains.size(), options.list_lag),
+      tickets_(options.id, incarnation, random_key(random_), ticket_options{},
+               now),
+      decisions_(decision_capacity),
+      table_(std::make_shared<const contract_table>()),
+      incarnation_(incarnation)
+{
+}
+
+void call_engine::start_of_event(time_point now)
+{
+    const auto gap = pauses_.observe(now);
+    if (!gap)
+    {
+        return;
+    }
+    ++metrics_.pauses;
+    levels_.clear();
+    gate_.reset(now);
+    customers_.on_pause(*gap, now);
+    for (auto& [service, set] : upstreams_)
+    {
+        set->forget_evidence();
+    }
+    expire_deadlines(now);
+}
+
+void call_engine::on_tick(time_point now)
+{
+    start_of_event(now);
+    expire_deadlines(now);
+    for (const auto id : gate_.tick(now))
+    {
+        finish(id, refuse(reason::deadline), now);
+    }
+    pump(now);
+    if (now >= next_housekeeping_)
+    {
+        next_housekeeping_ = now + housekeeping_interval;
+        levels_.expire(now);
+        tickets_.expire(now);
+    }
+}
+
+void call_engine::apply_contracts(std::shared_ptr<const contract_table> table)
+{
+    for (const auto& [customer, terms] : table->contracts())
+    {
+        if (table_->find(customer) != terms)
+        {
+            customers_.on_changed(*terms);
+        }
+    }
+    customers_.retain([&](const std::string& customer)
+                      { return table->find(customer) != nullptr; });
+    table_ = std::move(table);
+}
+
+void call_engine::apply_instances(std::span<const instance> list,
+                                  time_point now)
+{
+    start_of_event(now);
+    string_map<std::vector<instance>> by_service;
+    for (const auto& [service, set] : upstreams_)
+    {
+        by_service[service];
+    }
+    service_of_.clear();
+    for (const auto& item : list)
+    {
+        if (item.id != options_.id)
+        {
+            by_service[item.service].push_back(item);
+            service_of_[item.id] = item.service;
+        }
+    }
+    for (const auto& [service, members] : by_service)
+    {
+        upstreams(service).apply(members, have_instances_, now);
+    }
+    have_instances_ = true;
+    customers_.apply(list, now);
+}
+
+upstream_set& call_engine::upstreams(std::string_view service)
+{
+    auto& set = upstreams_[std::string(service)];
+    if (!set)
+    {
+        routing_options options;
+        options.subset_size = options_.subset_size;
+        set = std::make_unique<upstream_set>(options_.id,
+                                             options_.failure_domain, options);
+    }
+    return *set;
+}
+
+upstream_set* call_engine::upstreams_of(std::string_view peer)
+{
+    const auto found = service_of_.find(peer);
+    return found == service_of_.end() ? nullptr : &upstreams(found->second);
+}
+
+void call_engine::on_peer_leaving(std::string_view peer)
+{
+    if (auto* set = upstreams_of(peer))
+    {
+        set->on_leaving(peer);
+    }
+}
+
+void call_engine::on_peer_restart(std::string_view peer, time_point now)
+{
+    if (auto* set = upstreams_of(peer))
+    {
+        set->on_restart(peer, now);
+    }
+}
+
+void call_engine::on_peer_load(std::string_view peer, upstream_load load,
+                               time_point now)
+{
+    if (auto* set = upstreams_of(peer))
+    {
+        set->on_load(peer, load, now);
+    }
+}
+
+void call_engine::enter(inbound_call call, time_point now)
+{
+    const std::uint64_t id = next_id_++;
+    queued_call entry;
+    entry.id = id;
+    entry.key = call.context.key;
+    entry.under_way = call.context.depth > 0;
+    entry.arrived = now;
+    entry.deadline = call.context.deadline;
+    call.arrived = now;
+    call.budget = retry_budget(call.context.credits);
+    if (call.ticket_number != 0)
+    {
+        ticket_calls_[call.ticket_number] = id;
+    }
+    origins_[{call.origin.port, call.origin.exchange}] = id;
+    deadlines_.insert({call.context.deadline, id});
+    inbound_.emplace(id, std::move(call));
+
+    const gate_result result = gate_.offer(entry, now);
+    if (result.evicted)
+    {
+        finish(*result.evicted, refuse(reason::queue_full), now);
+    }
+    switch (result.verdict)
+    {
+    case gate_verdict::run:
+        run(id, now);
+        return;
+    case gate_verdict::queued:
+        pump(now);
+        return;
+    case gate_verdict::refused:
+        finish(id, refuse(reason::queue_full), now);
+        return;
+    }
+}
+
+void call_engine::pump(time_point now)
+{
+    const gate_release released = gate_.release(now);
+    for (const auto id : released.expired)
+    {
+        finish(id, refuse(reason::deadline), now);
+    }
+    for (const auto id : released.run)
+    {
+        run(id, now);
+    }
+}
+
+void call_engine::run(std::uint64_t id, time_point now)
+{
+    auto& call = inbound_.at(id);
+    call.at = stage::running;
+    call.started = now;
+    call.token = random_token();
+    tokens_[call.token] = id;
+    ++metrics_.backend_starts;
+
+    http_request request = for_backend(call.request);
+    std::erase_if(request.headers,
+                  [](const auto& header) {
+                      return same_header_name(header.name, headers::request_id);
+                  });
+    const auto remaining = milliseconds(call.context.deadline - now);
+    request.headers.push_back(
+        {std::string(headers::request_id), call.context.request_id});
+    request.headers.push_back({std::string(headers::token), call.token});
+    request.headers.push_back(
+        {std::string(headers::deadline), fmt::format("{}", remaining)});
+    call.request = {};
+    backend_.start(id, request);
+}
+
+void call_engine::on_backend_end(std::uint64_t id, backend_end end,
+                                 http_response response, time_point now)
+{
+    start_of_event(now);
+    const auto found = inbound_.find(id);
+    if (found == inbound_.end())
+    {
+        return;
+    }
+    switch (end)
+    {
+    case backend_end::unreachable:
+        finish(id, refuse(reason::backend_unreachable, true), now);
+        return;
+    case backend_end::failed:
+        finish(id, unknown_outcome(reason::backend_failed), now);
+        return;
+    case backend_end::answered:
+        break;
+    }
+    constexpr unsigned service_unavailable = 503;
+    if (response.status == service_unavailable)
+    {
+        gate_.on_backend_refusal(now);
+    }
+    answer value;
+    value.response = std::move(response);
+    strip_response(value.response);
+    finish(id, std::move(value), now);
+}
+
+void call_engine::finish(std::uint64_t id, answer value, time_point now)
+{
+    const auto found = inbound_.find(id);
+    if (found == inbound_.end())
+    {
+        return;
+    }
+    const inbound_call call = std::move(found->second);
+    inbound_.erase(found);
+    origins_.erase({call.origin.port, call.origin.exchange});
+    deadlines_.erase({call.context.deadline, id});
+    tokens_.erase(call.token);
+    gate_.remove(id);
+    release_children(call, now);
+    if (call.at == stage::running)
+    {
+        if (value.result == outcome::unknown)
+        {
+            backend_.cancel(id);
+        }
+        const duration waiting =
+            call.children_time + (call.open_children > 0
+                                      ? now - call.children_since
+                                      : duration::zero());
+        gate_.on_finish(now - call.started - waiting,
+                        value.result == outcome::answered, now);
+    }
+    settle_ticket(call, value);
+    value.credits_unspent = call.budget.held();
+    send(call, std::move(value), now);
+    pump(now);
+}
+
+void call_engine::release_children(const inbound_call& call, time_point now)
+{
+    const std::vector<std::uint64_t> children(call.children.begin(),
+                                              call.children.end());
+    for (const auto child : children)
+    {
+        cancel_outbound(child, now);
+    }
+}
+
+void call_engine::settle_ticket(const inbound_call& call, const answer& value)
+{
+    if (call.ticket_number == 0)
+    {
+        return;
+    }
+    ticket_calls_.erase(call.ticket_number);
+    if (value.result == outcome::not_run)
+    {
+        tickets_.release(call.ticket_number);
+    }
+    else if (value.result == outcome::answered)
+    {
+        tickets_.complete(call.ticket_number, value.response);
+    }
+    else
+    {
+        tickets_.complete(call.ticket_number, std::nullopt);
+    }
+}
+
+void call_engine::send(const inbound_call& call, answer value, time_point now)
+{
+    value.level =
+        std::min({value.level, gate_.level(), levels_.level(call.method, now)});
+    value.leaving = leaving_;
+    value.load = load(now);
+    if (value.result == outcome::not_run &&
+        value.retry_after == duration::zero())
+    {
+        value.retry_after = overload_retry_after();
+    }
+    if (call.from_caller && call.terms && !leaving_)
+    {
+        value.next_ticket =
+            to_string(tickets_.mint(call.context.customer, now));
+    }
+    note(call.context, call.method, value, now);
+    if (call.from_caller)
+    {
+        count(call.context, value, call.arrived, now);
+    }
+    if (call.origin.port != nullptr)
+    {
+        call.origin.port->reply(call.origin.exchange, value,
+                                call.context.request_id);
+    }
+    for (const auto& other : call.joined)
+    {
+        origins_.erase({other.port, other.exchange});
+        other.port->reply(other.exchange, value, call.context.request_id);
+    }
+}
+
+void call_engine::note(const call_context& context, std::string_view method,
+                       const answer& value, time_point now)
+{
+    ++metrics_.outcomes[static_cast<std::size_t>(value.result)];
+    if (value.result == outcome::answered)
+    {
+        return;
+    }
+    ++metrics_.refused[static_cast<std::size_t>(value.reason)];
+    decision item;
+    item.request_id = context.request_id;
+    item.customer = context.customer;
+    item.method = method;
+    item.result = value.result;
+    item.reason = value.reason;
+    item.key = context.key;
+    item.own_level = gate_.level();
+    item.downstream_level = levels_.level(method, now);
+    item.depth = context.depth;
+    item.at = now;
+    decisions_.add(std::move(item));
+}
+
+void call_engine::count(const call_context& context, const answer& value,
+                        time_point arrived, time_point now)
+{
+    if (value.result == outcome::answered && arrived != time_point{})
+    {
+        metrics_.latency[{context.customer, context.cls}].add(now - arrived);
+    }
+}
+
+duration call_engine::overload_retry_after()
+{
+    return jittered_retry_after(retry_after_base, random_unit());
+}
+
+void call_engine::on_origin_gone(reply_to origin, time_point now)
+{
+    start_of_event(now);
+    const auto found = origins_.find({origin.port, origin.exchange});
+    if (found == origins_.end())
+    {
+        return;
+    }
+    const std::uint64_t id = found->second;
+    origins_.erase(found);
+    const auto out = outbound_.find(id);
+    if (out != outbound_.end())
+    {
+        out->second.origin =
+            out->second.origin == origin ? reply_to{} : out->second.origin;
+        std::erase(out->second.joined, origin);
+        if (out->second.context.idempotent)
+        {
+            cancel_outbound(id, now);
+        }
+        return;
+    }
+    auto& call = inbound_.at(id);
+    call.origin = call.origin == origin ? reply_to{} : call.origin;
+    std::erase(call.joined, origin);
+    const bool wanted = call.origin.port != nullptr || !call.joined.empty();
+    if (wanted)
+    {
+        return;
+    }
+    if (call.at == stage::queued)
+    {
+        finish(id, refuse(reason::cancelled), now);
+    }
+    else if (call.context.idempotent)
+    {
+        finish(id, unknown_outcome(reason::cancelled), now);
+    }
+}
+
+void call_engine::expire_deadlines(time_point now)
+{
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now)
+    {
+        const std::uint64_t id = deadlines_.begin()->second;
+        const auto call = inbound_.find(id);
+        if (call != inbound_.end())
+        {
+            const bool ran = call->second.at == stage::running;
+            finish(id,
+                   ran ? unknown_outcome(reason::deadline)
+                       : refuse(reason::deadline),
+                   now);
+            continue;
+        }
+        auto& out = outbound_.at(id);
+        drop_attempt(out, attempt_result::refused, now);
+        finish_outbound(id, unknown_outcome(reason::deadline), now);
+    }
+    while (!attempt_deadlines_.empty() &&
+           attempt_deadlines_.begin()->first <= now)
+    {
+        const std::uint64_t id = attempt_deadlines_.begin()->second;
+        auto& out = outbound_.at(id);
+        peers_.cancel(out.peer, out.attempt);
+        end_attempt(id, unknown_outcome(reason::peer_lost),
+                    attempt_result::failure, now);
+    }
+}
+
+upstream_load call_engine::load(time_point now) const
+{
+    upstream_load value;
+    value.in_flight =
+        gate_.running() + static_cast<std::uint32_t>(gate_.queued());
+    value.limit = options_.protection ? gate_.limit(now) : 0;
+    return value;
+}
+
+node_status call_engine::status(time_point now) const
+{
+    node_status value;
+    value.contracts_revision = table_->revision();
+    value.customers = table_->size();
+    value.level = gate_.level();
+    value.running = gate_.running();
+    value.queued = gate_.queued();
+    value.limit = options_.protection ? gate_.limit(now) : 0;
+    value.inbound = inbound_.size();
+    value.outbound = outbound_.size();
+    value.tickets = tickets_.records();
+    value.leaving = leaving_;
+    for (const auto& [service, set] : upstreams_)
+    {
+        value.upstreams[service] = set->size();
+        value.ejected[service] = set->ejected(now);
+    }
+    return value;
+}
+
+std::uint64_t call_engine::random()
+{
+    return random_();
+}
+
+double call_engine::random_unit()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+std::string call_engine::random_token()
+{
+    return random_key(random_);
+}
+
+} // namespace jujubespan::engine
--- /dev/null
+++ b/src/jujubespan/node/topic_store.cpp
@@ -0,0 +1,69 @@
+#include "jujubespan/node/topic_store.hpp"
+
+#include "jujubespan/platform/codec.hpp"
+
+#include <algorithm>
+
+namespace jujubespan::node
+{
+
+topic_store::topic_store()
+    : contracts_(std::make_shared<const engine::contract_table>())
+{
+}
+
+store_result topic_store::apply(topic which, const versioned_delta& delta,
+                                absl::Status& why)
+{
+    const auto present = revision(which);
+    if (delta.revision == present)
+    {
+        return store_result::unchanged;
+    }
+    switch (map(which).check(delta))
+    {
+    case delta_result::stale:
+        ++stale_;
+        return store_result::stale;
+    case delta_result::gap:
+        return store_result::gap;
+    case delta_result::applied:
+        break;
+    }
+    why = accept(which, delta);
+    if (!why.ok())
+    {
+        auto& rejected = rejected_[static_cast<std::size_t>(which)];
+        rejected = std::max(rejected, delta.revision);
+        return store_result::rejected;
+    }
+    return store_result::applied;
+}
+
+absl::Status topic_store::accept(topic which, const versioned_delta& delta)
+{
+    auto& target = maps_[static_cast<std::size_t>(which)];
+    if (which == topic::contracts)
+    {
+        auto table = contracts_->with(delta);
+        if (!table.ok())
+        {
+            return table.status();
+        }
+        contracts_ = *std::move(table);
+        target.apply(delta);
+        return absl::OkStatus();
+    }
+    versioned_map candidate = target;
+    candidate.apply(delta);
+    auto list = platform::parse_instances(candidate);
+    if (!list.ok())
+    {
+        return list.status();
+    }
+    target = std::move(candidate);
+    instances_ = *std::move(list);
+    return absl::OkStatus();
+}
+
+} // namespace jujubespan::node
--- /dev/null
+++ b/src/jujubespan/operators/report.cpp
@@ -0,0 +1,249 @@
+#include "jujubespan/operators/report.hpp"
+
+#include "jujubespan/metrics/exposition.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace jujubespan::operators
+{
+
+namespace
+{
+
+using metrics::exposition;
+using metrics::label;
+
+void add_single(exposition& out, std::string_view name, std::string_view type,
+                std::string_view help, double value)
+{
+    out.family(name, type, help);
+    out.sample(name, "", value);
+}
+
+// One counter of both planes.
+void add_link_family(exposition& out, const node_report& report,
+                     std::string_view name, std::string_view type,
+                     std::string_view help,
+                     std::uint64_t link_counters::*member)
+{
+    out.family(name, type, help);
+    out.sample(name, label("plane", "calls"),
+               static_cast<double>(report.calls.*member));
+    out.sample(name, label("plane", "control"),
+               static_cast<double>(report.control.*member));
+}
+
+void add_links(exposition& out, const node_report& report)
+{
+    add_link_family(out, report, "jujubespan_peer_sent_messages_total",
+                    "counter", "Messages sent to other nodes.",
+                    &link_counters::sent);
+    add_link_family(out, report, "jujubespan_peer_sent_bytes_total", "counter",
+                    "Bytes of messages sent to other nodes.",
+                    &link_counters::sent_bytes);
+    add_link_family(out, report, "jujubespan_peer_received_messages_total",
+                    "counter", "Messages received from other nodes.",
+                    &link_counters::received);
+    add_link_family(out, report, "jujubespan_peer_received_bytes_total",
+                    "counter", "Bytes of messages received.",
+                    &link_counters::received_bytes);
+    add_link_family(out, report, "jujubespan_peer_dropped_messages_total",
+                    "counter",
+                    "Messages malformed, of unknown version or misaddressed.",
+                    &link_counters::dropped);
+    add_link_family(out, report, "jujubespan_peer_connections", "gauge",
+                    "Connections made to other nodes.",
+                    &link_counters::connections);
+}
+
+void add_outcomes(exposition& out, const engine::engine_metrics& metrics)
+{
+    out.family("jujubespan_calls_total", "counter", "Calls by outcome.");
+    for (std::size_t i = 0; i < metrics.outcomes.size(); ++i)
+    {
+        const auto outcome = static_cast<engine::outcome>(i);
+        out.sample("jujubespan_calls_total",
+                   label("outcome", engine::to_string(outcome)),
+                   static_cast<double>(metrics.outcomes[i]));
+    }
+    out.family("jujubespan_not_answered_total", "counter",
+               "Calls that were not answered, by reason.");
+    for (std::size_t i = 0; i < metrics.refused.size(); ++i)
+    {
+        const auto reason = static_cast<engine::reason>(i);
+        if (metrics.refused[i] > 0)
+        {
+            out.sample("jujubespan_not_answered_total",
+                       label("reason", engine::to_string(reason)),
+                       static_cast<double>(metrics.refused[i]));
+        }
+    }
+}
+
+} // namespace
+
+std::string to_metrics(const node_report& report)
+{
+    exposition out;
+    const auto& status = report.status;
+    const auto& metrics = report.metrics;
+    out.family("jujubespan_request_seconds", "histogram",
+               "Time from a caller's request to its answer.");
+    for (const auto& [key, histogram] : metrics.latency)
+    {
+        const auto labels = fmt::format("{},{}", label("customer", key.first),
+                                        label("class", to_string(key.second)));
+        out.histogram("jujubespan_request_seconds", labels, histogram);
+    }
+    add_outcomes(out, metrics);
+    add_single(out, "jujubespan_backend_starts_total", "counter",
+               "Calls sent to the backend server.",
+               static_cast<double>(metrics.backend_starts));
+    add_single(out, "jujubespan_attempts_total", "counter",
+               "Attempts at calls to other services.",
+               static_cast<double>(metrics.attempts));
+    add_single(out, "jujubespan_retries_total", "counter",
+               "Attempts after the first.",
+               static_cast<double>(metrics.retries));
+    add_single(out, "jujubespan_late_replies_total", "counter",
+               "Replies to attempts already given up.",
+               static_cast<double>(metrics.late_replies));
+    add_single(out, "jujubespan_pauses_total", "counter",
+               "Times the traffic thread did not run for half a second.",
+               static_cast<double>(metrics.pauses));
+    add_single(out, "jujubespan_admission_level", "gauge",
+               "Shed keys below this are admitted; 512 admits all.",
+               status.level);
+    add_single(out, "jujubespan_running", "gauge",
+               "Calls running on the backend server.", status.running);
+    add_single(out, "jujubespan_queued", "gauge", "Calls waiting for a slot.",
+               static_cast<double>(status.queued));
+    add_single(out, "jujubespan_concurrency_limit", "gauge",
+               "Calls that may run at once; 0 without protection.",
+               status.limit);
+    add_single(out, "jujubespan_tickets", "gauge",
+               "Requests recorded so that they run at most once.",
+               static_cast<double>(status.tickets));
+    add_single(out, "jujubespan_leaving", "gauge",
+               "1 while the node takes no new work.", status.leaving ? 1 : 0);
+    add_single(out, "jujubespan_caller_connections", "gauge",
+               "Open connections of callers.",
+               static_cast<double>(report.caller_connections));
+    out.family("jujubespan_ejected_upstreams", "gauge",
+               "Upstreams not used after failures, by service.");
+    for (const auto& [service, count] : status.ejected)
+    {
+        out.sample("jujubespan_ejected_upstreams", label("service", service),
+                   static_cast<double>(count));
+    }
+    out.family("jujubespan_revision", "gauge", "Revision in force, by topic.");
+    out.sample("jujubespan_revision", label("topic", "contracts"),
+               static_cast<double>(status.contracts_revision));
+    out.sample("jujubespan_revision", label("topic", "instances"),
+               static_cast<double>(report.instances_revision));
+    add_single(out, "jujubespan_rejected_revision", "gauge",
+               "Highest revision of the contracts that was rejected.",
+               static_cast<double>(report.rejected_revision));
+    add_single(out, "jujubespan_stale_deltas_total", "counter",
+               "Answers below the revision in force, dropped.",
+               static_cast<double>(report.stale_deltas));
+    add_single(out, "jujubespan_platform_calls_total", "counter",
+               "Calls to the platform.",
+               static_cast<double>(report.platform_calls));
+    add_single(out, "jujubespan_reader", "gauge",
+               "1 while this node watches the platform.",
+               report.reader ? 1 : 0);
+    add_links(out, report);
+    return out.text();
+}
+
+std::string to_json(const node_report& report)
+{
+    const auto& status = report.status;
+    const nlohmann::json document = {
+        {"id", report.id},
+        {"service", report.service},
+        {"failure_domain", report.failure_domain},
+        {"incarnation", report.incarnation},
+        {"contracts_revision", status.contracts_revision},
+        {"instances_revision", report.instances_revision},
+        {"rejected_revision", report.rejected_revision},
+        {"customers", status.customers},
+        {"level", status.level},
+        {"running", status.running},
+        {"queued", status.queued},
+        {"limit", status.limit},
+        {"tickets", status.tickets},
+        {"leaving", status.leaving},
+        {"reader", report.reader},
+        {"upstreams", status.upstreams},
+        {"ejected", status.ejected}};
+    return document.dump(2) + "\n";
+}
+
+std::string to_json(std::span<const engine::decision> decisions)
+{
+    auto document = nlohmann::json::array();
+    for (const auto& item : decisions)
+    {
+        document.push_back({{"request_id", item.request_id},
+                            {"customer", item.customer},
+                            {"method", item.method},
+                            {"outcome", engine::to_string(item.result)},
+                            {"reason", engine::to_string(item.reason)},
+                            {"class", to_string(class_of(item.key))},
+                            {"shed_key", item.key},
+                            {"own_level", item.own_level},
+                            {"downstream_level", item.downstream_level},
+                            {"depth", item.depth}});
+    }
+    return document.dump(2) + "\n";
+}
+
+std::string status_page()
+{
+    return R"html(<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>jujubespan node</title>
+<style>body{font-family:sans-serif;margin:2em}h2{font-size:1em}
+.bar{display:inline-block;width:24px;margin-right:2px;background:#47a}
+td{vertical-align:bottom;font-size:.7em;text-align:center}</style></head>
+<body><h1>Latency by customer and class</h1><div id="charts"></div>
+<h1>Status</h1><pre id="status"></pre><script>
+const bucket=/^jujubespan_request_seconds_bucket\{(.*),le="(.*)"\} (.*)$/;
+async function draw(){
+  const text=await(await fetch('/metrics')).text();
+  const series={};
+  for(const line of text.split('\n')){
+    const m=bucket.exec(line);
+    if(m)(series[m[1]]=series[m[1]]||[]).push([m[2],Number(m[3])]);
+  }
+  const charts=document.getElementById('charts');
+  charts.replaceChildren();
+  for(const [name,rows] of Object.entries(series)){
+    let before=0;
+    const counts=rows.map(([le,n])=>{const c=n-before;before=n;return[le,c]});
+    const most=Math.max(1,...counts.map(r=>r[1]));
+    const title=document.createElement('h2');
+    title.textContent=name;
+    const table=document.createElement('table');
+    const row=table.insertRow();
+    for(const [le,c] of counts){
+      const cell=row.insertCell();
+      const bar=document.createElement('span');
+      bar.className='bar';
+      bar.style.height=(80*c/most)+'px';
+      bar.title=c;
+      cell.append(bar,document.createElement('br'),le);
+    }
+    charts.append(title,table);
+  }
+  document.getElementById('status').textContent=
+    await(await fetch('/status')).text();
+}
+draw();setInterval(draw,2000);
+</script></body></html>
+)html";
+}
+
+} // namespace jujubespan::operators
--- /dev/null
+++ b/src/jujubespan/peer/call_transport.cpp
@@ -0,0 +1,182 @@
+#include "jujubespan/peer/call_transport.hpp"
+
+#include "jujubespan/peer/codec.hpp"
+#include "jujubespan/peer/peer.pb.h"
+
+namespace jujubespan::peer
+{
+
+call_transport::call_transport(zmq::context_t& context,
+                               const config::settings& options,
+                               std::uint64_t incarnation)
+    : messenger_(context, options.id, incarnation, options.keys, *this)
+{
+}
+
+absl::Status call_transport::bind(const config::endpoint& address)
+{
+    return messenger_.bind(address);
+}
+
+void call_transport::apply(std::span<const instance> list)
+{
+    std::vector<peer_address> peers;
+    for (const auto& item : list)
+    {
+        peers.push_back({item.id, item.call_address, item.public_key});
+    }
+    messenger_.set_peers(peers);
+}
+
+bool call_transport::call(std::string_view peer, const engine::peer_call& value,
+                          time_point now)
+{
+    v1::Envelope message;
+    encode(value, now, *message.mutable_call());
+    return messenger_.send(peer, message, now);
+}
+
+void call_transport::cancel(std::string_view peer, std::uint64_t call)
+{
+    v1::Envelope message;
+    message.mutable_cancel()->set_id(call);
+    messenger_.send(peer, message, boot_clock::now());
+}
+
+void call_transport::reply(std::uint64_t exchange, const engine::answer& value,
+                           std::string_view /*request_id*/)
+{
+    const auto found = exchanges_.find(exchange);
+    if (found == exchanges_.end())
+    {
+        return;
+    }
+    const exchange_state state = std::move(found->second);
+    exchanges_.erase(found);
+    const auto calls = by_call_.find(state.peer);
+    if (calls != by_call_.end())
+    {
+        calls->second.erase(state.call);
+    }
+    v1::Envelope message;
+    encode(value, *message.mutable_reply());
+    message.mutable_reply()->set_id(state.call);
+    messenger_.reply(state.back, state.peer, message);
+}
+
+void call_transport::announce_leaving()
+{
+    for (const auto& [peer, sender] : senders_)
+    {
+        v1::Envelope message;
+        message.mutable_heartbeat()->set_leaving(true);
+        messenger_.reply(sender.back, peer, message);
+    }
+}
+
+void call_transport::on_message(const v1::Envelope& message, const route& from)
+{
+    switch (message.body_case())
+    {
+    case v1::Envelope::kCall:
+        on_call(message, from);
+        return;
+    case v1::Envelope::kCancel:
+        on_cancel(message);
+        return;
+    case v1::Envelope::kReply:
+        on_reply(message);
+        return;
+    case v1::Envelope::kHeartbeat:
+        if (message.heartbeat().leaving())
+        {
+            calls_->on_peer_leaving(message.from());
+        }
+        return;
+    default:
+        return;
+    }
+}
+
+void call_transport::on_call(const v1::Envelope& message, const route& from)
+{
+    if (from.empty())
+    {
+        return;
+    }
+    auto& sender = senders_[message.from()];
+    if (sender.incarnation != message.from_incarnation())
+    {
+        sender = {message.from_incarnation(), 0, from};
+    }
+    sender.back = from;
+    if (message.call().id() <= sender.last_call)
+    {
+        ++duplicates_;
+        return;
+    }
+    sender.last_call = message.call().id();
+    const auto now = boot_clock::now();
+    auto call = decode(message.call(), now);
+    if (!call)
+    {
+        v1::Envelope refusal;
+        encode(engine::refuse(engine::reason::malformed),
+               *refusal.mutable_reply());
+        refusal.mutable_reply()->set_id(message.call().id());
+        messenger_.reply(from, message.from(), refusal);
+        return;
+    }
+    const std::uint64_t exchange = next_exchange_++;
+    exchanges_[exchange] = {from, message.from(), call->id};
+    by_call_[message.from()][call->id] = exchange;
+    calls_->on_peer_call({this, exchange}, *std::move(call), now);
+}
+
+void call_transport::on_cancel(const v1::Envelope& message)
+{
+    const auto calls = by_call_.find(message.from());
+    if (calls == by_call_.end())
+    {
+        return;
+    }
+    const auto found = calls->second.find(message.cancel().id());
+    if (found == calls->second.end())
+    {
+        return;
+    }
+    const std::uint64_t exchange = found->second;
+    calls->second.erase(found);
+    exchanges_.erase(exchange);
+    calls_->on_origin_gone({this, exchange}, boot_clock::now());
+}
+
+void call_transport::on_reply(const v1::Envelope& message)
+{
+    auto value = decode(message.reply());
+    if (value)
+    {
+        calls_->on_peer_reply(message.from(), message.reply().id(),
+                              *std::move(value), boot_clock::now());
+    }
+}
+
+void call_transport::on_lost(std::string_view peer)
+{
+    calls_->on_peer_lost(peer, boot_clock::now());
+}
+
+void call_transport::on_unsent(std::string_view peer,
+                               const v1::Envelope& message)
+{
+    if (message.has_call())
+    {
+        engine::answer refusal =
+            engine::refuse(engine::reason::no_upstream, true);
+        refusal.credits_unspent = message.call().credits();
+        calls_->on_peer_reply(peer, message.call().id(), std::move(refusal),
+                              boot_clock::now());
+    }
+}
+
+} // namespace jujubespan::peer
--- /dev/null
+++ b/src/jujubespan/peer/codec.cpp
@@ -0,0 +1,179 @@
+#include "jujubespan/peer/codec.hpp"
+
+#include "jujubespan/peer/peer.pb.h"
+
+#include <algorithm>
+
+namespace jujubespan::peer
+{
+
+namespace
+{
+
+constexpr std::uint64_t longest_deadline_us = 600'000'000;
+constexpr unsigned lowest_status = 100;
+constexpr unsigned highest_status = 999;
+
+void encode_headers(const std::vector<http_header>& headers, auto& out)
+{
+    for (const auto& header : headers)
+    {
+        auto* added = out.add_headers();
+        added->set_name(header.name);
+        added->set_value(header.value);
+    }
+}
+
+std::vector<http_header> decode_headers(const auto& in)
+{
+    std::vector<http_header> headers;
+    headers.reserve(static_cast<std::size_t>(in.headers_size()));
+    for (const auto& header : in.headers())
+    {
+        headers.push_back({header.name(), header.value()});
+    }
+    return headers;
+}
+
+} // namespace
+
+void encode(const engine::peer_call& value, time_point now, v1::Call& out)
+{
+    const auto& context = value.context;
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::microseconds>(context.deadline -
+                                                              now)
+            .count();
+    out.set_id(value.id);
+    out.set_request_id(context.request_id);
+    out.set_customer(context.customer);
+    out.set_request_class(static_cast<std::uint32_t>(context.cls));
+    out.set_remaining_us(
+        static_cast<std::uint64_t>(std::max<long long>(remaining, 0)));
+    out.set_credits(context.credits);
+    out.set_depth(context.depth);
+    out.set_idempotent(context.idempotent);
+    out.set_shed_key(context.key);
+    out.set_ticket(context.ticket);
+    out.set_service(value.service);
+    out.set_method(value.request.verb);
+    out.set_target(value.request.target);
+    encode_headers(value.request.headers, out);
+    out.set_body(value.request.body);
+    out.set_forwarded(value.forwarded);
+    for (const auto hash : context.path)
+    {
+        out.add_path(hash);
+    }
+}
+
+std::optional<engine::peer_call> decode(const v1::Call& in, time_point now)
+{
+    if (in.request_class() >= request_class_count ||
+        in.shed_key() >= open_level ||
+        in.remaining_us() > longest_deadline_us || in.target().empty() ||
+        in.method().empty())
+    {
+        return std::nullopt;
+    }
+    engine::peer_call value;
+    value.id = in.id();
+    value.service = in.service();
+    value.forwarded = in.forwarded();
+    auto& context = value.context;
+    context.request_id = in.request_id();
+    context.customer = in.customer();
+    context.cls = static_cast<request_class>(in.request_class());
+    context.key = in.shed_key();
+    context.deadline = now + std::chrono::microseconds(in.remaining_us());
+    context.credits = in.credits();
+    context.depth = in.depth();
+    context.idempotent = in.idempotent();
+    context.ticket = in.ticket();
+    context.path.assign(in.path().begin(), in.path().end());
+    value.request.verb = in.method();
+    value.request.target = in.target();
+    value.request.headers = decode_headers(in);
+    value.request.body = in.body();
+    return value;
+}
+
+void encode(const engine::answer& value, v1::Reply& out)
+{
+    out.set_outcome(static_cast<std::uint32_t>(value.result));
+    out.set_reason(static_cast<std::uint32_t>(value.reason));
+    if (value.result == engine::outcome::answered)
+    {
+        out.set_status(value.response.status);
+        encode_headers(value.response.headers, out);
+        out.set_body(value.response.body);
+    }
+    out.set_credits_unspent(value.credits_unspent);
+    out.set_level(value.level);
+    out.set_elsewhere_may_help(value.elsewhere_may_help);
+    out.set_retry_after_ms(
+        static_cast<std::uint32_t>(milliseconds(value.retry_after)));
+    out.set_leaving(value.leaving);
+    out.set_in_flight(value.load.in_flight);
+    out.set_limit(value.load.limit);
+}
+
+std::optional<engine::answer> decode(const v1::Reply& in)
+{
+    const bool answered =
+        in.outcome() == static_cast<std::uint32_t>(engine::outcome::answered);
+    const bool bad_status =
+        in.status() < lowest_status || in.status() > highest_status;
+    if (in.outcome() > static_cast<std::uint32_t>(engine::outcome::rejected) ||
+        in.reason() > static_cast<std::uint32_t>(engine::reason::last) ||
+        in.level() > open_level || (answered && bad_status))
+    {
+        return std::nullopt;
+    }
+    engine::answer value;
+    value.result = static_cast<engine::outcome>(in.outcome());
+    value.reason = static_cast<engine::reason>(in.reason());
+    value.response.status = in.status();
+    value.response.headers = decode_headers(in);
+    value.response.body = in.body();
+    value.credits_unspent = in.credits_unspent();
+    value.level = in.level();
+    value.elsewhere_may_help = in.elsewhere_may_help();
+    value.retry_after = std::chrono::milliseconds(in.retry_after_ms());
+    value.leaving = in.leaving();
+    value.load = {in.in_flight(), in.limit()};
+    return value;
+}
+
+void encode(topic which, const versioned_delta& value, v1::Delta& out)
+{
+    out.set_topic(which == topic::contracts ? v1::TOPIC_CONTRACTS
+                                            : v1::TOPIC_INSTANCES);
+    out.set_after(value.after);
+    out.set_revision(value.revision);
+    out.set_full(value.full);
+    for (const auto& entry : value.entries)
+    {
+        auto* added = out.add_entries();
+        added->set_key(entry.key);
+        added->set_revision(entry.revision);
+        added->set_value(entry.value);
+        added->set_removed(entry.removed);
+    }
+}
+
+versioned_delta decode(const v1::Delta& in)
+{
+    versioned_delta value;
+    value.after = in.after();
+    value.revision = in.revision();
+    value.full = in.full();
+    for (const auto& entry : in.entries())
+    {
+        value.entries.push_back(
+            {entry.key(), entry.revision(), entry.value(), entry.removed()});
+    }
+    return value;
+}
+
+} // namespace jujubespan::peer
--- /dev/null
+++ b/src/jujubespan/peer/control_transport.cpp
@@ -0,0 +1,157 @@
+#include "jujubespan/peer/control_transport.hpp"
+
+#include "jujubespan/peer/codec.hpp"
+#include "jujubespan/peer/peer.pb.h"
+
+namespace jujubespan::peer
+{
+
+namespace
+{
+
+// Routes remembered, at the most; peers beyond it are answered when they
+// write again.
+constexpr std::size_t max_routes = 4096;
+
+topic to_topic(v1::Topic value)
+{
+    return value == v1::TOPIC_INSTANCES ? topic::instances : topic::contracts;
+}
+
+v1::Topic from_topic(topic value)
+{
+    return value == topic::instances ? v1::TOPIC_INSTANCES
+                                     : v1::TOPIC_CONTRACTS;
+}
+
+heartbeat decode_heartbeat(const v1::Heartbeat& in)
+{
+    return {in.leaving(),
+            in.contracts_revision(),
+            in.instances_revision(),
+            {in.in_flight(), in.limit()}};
+}
+
+} // namespace
+
+control_transport::control_transport(zmq::context_t& context,
+                                     const config::settings& options,
+                                     std::uint64_t incarnation,
+                                     control_handler& handler)
+    : handler_(handler),
+      messenger_(context, options.id, incarnation, options.keys, *this)
+{
+}
+
+absl::Status control_transport::bind(const config::endpoint& address)
+{
+    return messenger_.bind(address);
+}
+
+void control_transport::set_peers(std::span<const peer_address> peers)
+{
+    messenger_.set_peers(peers);
+}
+
+void control_transport::transmit(std::string_view peer, v1::Envelope& message)
+{
+    if (messenger_.knows(peer))
+    {
+        messenger_.send(peer, message, boot_clock::now());
+        return;
+    }
+    const auto found = routes_.find(peer);
+    if (found != routes_.end() &&
+        !messenger_.reply(found->second, peer, message))
+    {
+        routes_.erase(found);
+    }
+}
+
+void control_transport::send(std::string_view peer, const heartbeat& value)
+{
+    v1::Envelope message;
+    auto* out = message.mutable_heartbeat();
+    out->set_leaving(value.leaving);
+    out->set_contracts_revision(value.contracts_revision);
+    out->set_instances_revision(value.instances_revision);
+    out->set_in_flight(value.load.in_flight);
+    out->set_limit(value.load.limit);
+    transmit(peer, message);
+}
+
+void control_transport::fetch(std::string_view peer, topic which,
+                              std::uint64_t after)
+{
+    v1::Envelope message;
+    message.mutable_fetch()->set_topic(from_topic(which));
+    message.mutable_fetch()->set_after(after);
+    transmit(peer, message);
+}
+
+void control_transport::send(std::string_view peer, topic which,
+                             const versioned_delta& delta)
+{
+    v1::Envelope message;
+    encode(which, delta, *message.mutable_delta());
+    transmit(peer, message);
+}
+
+void control_transport::borrow(std::string_view peer, const rate_lease& request)
+{
+    v1::Envelope message;
+    auto* out = message.mutable_borrow();
+    out->set_id(request.id);
+    out->set_customer(request.customer);
+    out->set_rate(request.rate);
+    transmit(peer, message);
+}
+
+void control_transport::grant(std::string_view peer, const rate_lease& value)
+{
+    v1::Envelope message;
+    auto* out = message.mutable_grant();
+    out->set_id(value.id);
+    out->set_customer(value.customer);
+    out->set_rate(value.rate);
+    transmit(peer, message);
+}
+
+void control_transport::on_message(const v1::Envelope& message,
+                                   const route& from)
+{
+    const auto& peer = message.from();
+    if (!from.empty() &&
+        (routes_.size() < max_routes || routes_.contains(peer)))
+    {
+        routes_[peer] = from;
+    }
+    switch (message.body_case())
+    {
+    case v1::Envelope::kHeartbeat:
+        handler_.on_heartbeat(peer, message.from_incarnation(),
+                              decode_heartbeat(message.heartbeat()));
+        return;
+    case v1::Envelope::kFetch:
+        handler_.on_fetch(peer, to_topic(message.fetch().topic()),
+                          message.fetch().after());
+        return;
+    case v1::Envelope::kDelta:
+        handler_.on_delta(peer, to_topic(message.delta().topic()),
+                          decode(message.delta()));
+        return;
+    case v1::Envelope::kBorrow:
+        handler_.on_borrow(peer,
+                           {message.borrow().id(), message.borrow().customer(),
+                            message.borrow().rate()});
+        return;
+    case v1::Envelope::kGrant:
+        handler_.on_grant({message.grant().id(), message.grant().customer(),
+                           message.grant().rate()});
+        return;
+    default:
+        return;
+    }
+}
+
+} // namespace jujubespan::peer
--- /dev/null
+++ b/src/jujubespan/peer/zmq_socket.cpp
@@ -0,0 +1,117 @@
+#include "jujubespan/peer/zmq_socket.hpp"
+
+namespace jujubespan::peer
+{
+
+namespace
+{
+
+constexpr int high_water_mark = 1000; // messages
+constexpr std::int64_t max_message_bytes = 20 << 20;
+constexpr int transport_heartbeat = 500; // milliseconds
+constexpr int transport_timeout = 1500;  // milliseconds
+constexpr int reconnect_interval = 50;   // milliseconds
+constexpr int longest_reconnect = 1000;  // milliseconds
+
+void set_bounds(zmq::socket_t& socket)
+{
+    socket.set(zmq::sockopt::sndhwm, high_water_mark);
+    socket.set(zmq::sockopt::rcvhwm, high_water_mark);
+    socket.set(zmq::sockopt::maxmsgsize, max_message_bytes);
+    socket.set(zmq::sockopt::heartbeat_ivl, transport_heartbeat);
+    socket.set(zmq::sockopt::heartbeat_timeout, transport_timeout);
+}
+
+void set_keys(zmq::socket_t& socket, const config::peer_keys& keys)
+{
+    socket.set(zmq::sockopt::curve_publickey, keys.public_key);
+    socket.set(zmq::sockopt::curve_secretkey, keys.secret_key);
+}
+
+} // namespace
+
+zmq_socket::zmq_socket(zmq::context_t& context, zmq::socket_type type,
+                       std::function<void()> on_readable)
+    : socket_(context, type), on_readable_(std::move(on_readable))
+{
+    socket_.set(zmq::sockopt::linger, 0);
+}
+
+void zmq_socket::watch()
+{
+    const auto descriptor = socket_.get(zmq::sockopt::fd);
+    notifier_ =
+        std::make_unique<QSocketNotifier>(descriptor, QSocketNotifier::Read);
+    QObject::connect(notifier_.get(), &QSocketNotifier::activated, &guard_,
+                     [this] { schedule(); });
+    schedule();
+}
+
+void zmq_socket::schedule()
+{
+    if (scheduled_ || (socket_.get(zmq::sockopt::events) & ZMQ_POLLIN) == 0)
+    {
+        return;
+    }
+    scheduled_ = true;
+    QMetaObject::invokeMethod(
+        &guard_,
+        [this]
+        {
+            scheduled_ = false;
+            on_readable_();
+        },
+        Qt::QueuedConnection);
+}
+
+bool zmq_socket::send(zmq::message_t message, bool more)
+{
+    auto flags = zmq::send_flags::dontwait;
+    if (more)
+    {
+        flags = flags | zmq::send_flags::sndmore;
+    }
+    bool sent = false;
+    try
+    {
+        sent = socket_.send(message, flags).has_value();
+    }
+    catch (const zmq::error_t&)
+    {
+        sent = false; // The peer of a ROUTER is gone.
+    }
+    schedule();
+    return sent;
+}
+
+zmq::recv_result_t zmq_socket::receive(zmq::message_t& message)
+{
+    return socket_.recv(message, zmq::recv_flags::dontwait);
+}
+
+void configure_server(zmq::socket_t& socket, const config::peer_keys& keys)
+{
+    set_bounds(socket);
+    socket.set(zmq::sockopt::router_mandatory, true);
+    if (keys.enabled())
+    {
+        set_keys(socket, keys);
+        socket.set(zmq::sockopt::curve_server, true);
+    }
+}
+
+void configure_client(zmq::socket_t& socket, const config::peer_keys& keys,
+                      std::string_view server_key)
+{
+    set_bounds(socket);
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::reconnect_ivl, reconnect_interval);
+    socket.set(zmq::sockopt::reconnect_ivl_max, longest_reconnect);
+    if (keys.enabled())
+    {
+        set_keys(socket, keys);
+        socket.set(zmq::sockopt::curve_serverkey, std::string(server_key));
+    }
+}
+
+} // namespace jujubespan::peer
--- /dev/null
+++ b/src/jujubespan/platform/codec.cpp
@@ -0,0 +1,141 @@
+#include "jujubespan/platform/codec.hpp"
+
+#include "jujubespan/config/object_reader.hpp"
+#include "jujubespan/config/status_text.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace jujubespan::platform
+{
+
+namespace
+{
+
+constexpr std::uint64_t highest_revision = 1ULL << 52U;
+
+} // namespace
+
+absl::StatusOr<versioned_delta> parse_delta(std::string_view text,
+                                            std::string_view source)
+{
+    config::diagnostics errors{std::string(source)};
+    const auto document = config::parse_json(text, errors);
+    if (!document)
+    {
+        return errors.status();
+    }
+    config::object_reader reader(*document, "", errors);
+    versioned_delta delta;
+    delta.after = reader.required_integer("after", 0, highest_revision);
+    delta.revision = reader.required_integer("revision", 0, highest_revision);
+    delta.full = reader.required_bool("full");
+    const auto entries = reader.array("entries", true);
+    for (std::size_t i = 0; i < entries.size(); ++i)
+    {
+        config::object_reader item(entries[i], fmt::format("entries[{}]", i),
+                                   errors);
+        versioned_entry entry;
+        entry.key = item.required_string("key");
+        entry.revision = item.required_integer("revision", 1, highest_revision);
+        entry.removed = item.bool_or("removed", false);
+        entry.value = item.string_or("value", "");
+        if (entry.revision > delta.revision)
+        {
+            item.fail("revision", "is above the revision of the answer");
+        }
+        item.finish();
+        delta.entries.push_back(std::move(entry));
+    }
+    reader.finish();
+    if (!errors.ok())
+    {
+        return errors.status();
+    }
+    return delta;
+}
+
+std::string format_delta(const versioned_delta& delta)
+{
+    nlohmann::json document = {{"after", delta.after},
+                               {"revision", delta.revision},
+                               {"full", delta.full},
+                               {"entries", nlohmann::json::array()}};
+    for (const auto& entry : delta.entries)
+    {
+        document["entries"].push_back({{"key", entry.key},
+                                       {"revision", entry.revision},
+                                       {"removed", entry.removed},
+                                       {"value", entry.value}});
+    }
+    return document.dump();
+}
+
+absl::StatusOr<instance> parse_instance(std::string_view text,
+                                        std::string_view key)
+{
+    config::diagnostics errors{std::string(key)};
+    const auto document = config::parse_json(text, errors);
+    if (!document)
+    {
+        return errors.status();
+    }
+    config::object_reader reader(*document, "", errors);
+    instance value;
+    value.id = key;
+    value.service = reader.required_string("service");
+    value.failure_domain = reader.required_string("failure_domain");
+    value.call_address = reader.required_string("call_address");
+    value.control_address = reader.required_string("control_address");
+    value.public_key = reader.string_or("public_key", "");
+    value.slots =
+        static_cast<std::uint32_t>(reader.required_integer("slots", 1, 10'000));
+    value.leaving = reader.bool_or("leaving", false);
+    reader.finish();
+    if (!errors.ok())
+    {
+        return errors.status();
+    }
+    return value;
+}
+
+std::string format_instance(const instance& value)
+{
+    nlohmann::json document = {{"service", value.service},
+                               {"failure_domain", value.failure_domain},
+                               {"call_address", value.call_address},
+                               {"control_address", value.control_address},
+                               {"slots", value.slots},
+                               {"leaving", value.leaving}};
+    if (!value.public_key.empty())
+    {
+        document["public_key"] = value.public_key;
+    }
+    return document.dump();
+}
+
+absl::StatusOr<std::vector<instance>>
+parse_instances(const versioned_map& entries)
+{
+    std::vector<instance> list;
+    std::string errors;
+    for (const auto& [key, entry] : entries.entries())
+    {
+        auto parsed = parse_instance(entry.value, key);
+        if (parsed.ok())
+        {
+            list.push_back(*std::move(parsed));
+        }
+        else
+        {
+            errors += text_of(parsed.status()) + "\n";
+        }
+    }
+    if (!errors.empty())
+    {
+        return absl::InvalidArgumentError(errors);
+    }
+    return list;
+}
+
+} // namespace jujubespan::platform
--- /dev/null
+++ b/src/jujubespan/policy/concurrency_limit.cpp
@@ -0,0 +1,260 @@
+#include "jujubespan/policy/concurrency_limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujubespan
+{
+
+namespace
+{
+
+constexpr double step_up = 1.25;
+constexpr double step_down = 0.8;
+// Part of a step's proportional gain that throughput must show to keep it.
+constexpr double gain_to_keep_up = 0.5;
+constexpr double throughput_to_keep_down = 0.97;
+constexpr double inflated = 1.5;
+constexpr double baseline_drift = 1.005;
+constexpr double saturated_share = 0.8;
+constexpr unsigned window_calls = 200;
+constexpr duration shortest_window = std::chrono::milliseconds(100);
+constexpr duration longest_window = std::chrono::seconds(2);
+constexpr duration shortest_probe_gap = std::chrono::milliseconds(500);
+constexpr duration longest_probe_gap = std::chrono::seconds(16);
+constexpr double refused_factor = 0.9;
+constexpr double cold_share = 0.1;
+
+class fixed_limit final : public concurrency_limit
+{
+public:
+    explicit fixed_limit(std::uint32_t slots) : slots_(slots) {}
+
+    [[nodiscard]] std::uint32_t limit(time_point /*now*/) const override
+    {
+        return slots_;
+    }
+    void on_start(std::uint32_t /*running*/, time_point /*now*/) override {}
+    void on_finish(duration /*self_time*/, time_point /*now*/) override {}
+    void on_refused(time_point /*now*/) override {}
+    void reset(time_point /*now*/) override {}
+
+private:
+    std::uint32_t slots_;
+};
+
+class adaptive_limit final : public concurrency_limit
+{
+public:
+    adaptive_limit(std::uint32_t published, duration cold_start)
+        : lowest_(std::max(1.0, published / 8.0)), highest_(published * 4.0),
+          cold_start_(cold_start), limit_(published)
+    {
+    }
+
+    [[nodiscard]] std::uint32_t limit(time_point now) const override
+    {
+        double value = limit_;
+        if (cold_start_ > duration::zero())
+        {
+            const double warm =
+                first_start_ == time_point{}
+                    ? 0.0
+                    : seconds(now - first_start_) / seconds(cold_start_);
+            value *= std::clamp(warm, cold_share, 1.0);
+        }
+        return std::max(1U, static_cast<std::uint32_t>(std::lround(value)));
+    }
+
+    void on_start(std::uint32_t running, time_point now) override
+    {
+        if (first_start_ == time_point{})
+        {
+            first_start_ = now;
+        }
+        ++starts_;
+        if (running >= limit(now))
+        {
+            ++saturated_starts_;
+        }
+    }
+
+    void on_finish(duration self_time, time_point now) override
+    {
+        if (window_start_ == time_point{})
+        {
+            open_window(now);
+        }
+        ++finished_;
+        self_time_sum_ += seconds(self_time);
+        const duration age = now - window_start_;
+        const bool enough = finished_ >= window_calls && age >= shortest_window;
+        if (enough || age >= longest_window)
+        {
+            close_window(now);
+        }
+    }
+
+    void on_refused(time_point now) override
+    {
+        if (now - last_refusal_ < shortest_window)
+        {
+            return;
+        }
+        last_refusal_ = now;
+        set(limit_ * refused_factor);
+        probe_ = probe::none;
+        next_probe_ = now + probe_gap_;
+        open_window(now);
+    }
+
+    void reset(time_point now) override
+    {
+        probe_ = probe::none;
+        baseline_ = 0;
+        open_window(now);
+    }
+
+private:
+    enum class probe
+    {
+        none,
+        settling_up,
+        settling_down,
+        up,
+        down
+    };
+
+    void set(double value) { limit_ = std::clamp(value, lowest_, highest_); }
+
+    void open_window(time_point now)
+    {
+        window_start_ = now;
+        finished_ = 0;
+        starts_ = 0;
+        saturated_starts_ = 0;
+        self_time_sum_ = 0;
+    }
+
+    void close_window(time_point now)
+    {
+        const double elapsed = seconds(now - window_start_);
+        const double throughput = finished_ / std::max(elapsed, 1e-6);
+        const double self_time = self_time_sum_ / finished_;
+        const bool saturated =
+            starts_ > 0 && saturated_starts_ >= saturated_share * starts_;
+        open_window(now);
+        if (now - first_start_ < cold_start_)
+        {
+            return;
+        }
+        baseline_ = baseline_ == 0
+                        ? self_time
+                        : std::min(baseline_ * baseline_drift, self_time);
+        if (!saturated)
+        {
+            abandon_probe();
+            return;
+        }
+        advance(throughput, self_time, now);
+    }
+
+    void advance(double throughput, double self_time, time_point now)
+    {
+        switch (probe_)
+        {
+        case probe::none:
+            if (now >= next_probe_)
+            {
+                begin_probe(throughput, self_time);
+            }
+            return;
+        case probe::settling_up:
+            probe_ = probe::up;
+            return;
+        case probe::settling_down:
+            probe_ = probe::down;
+            return;
+        case probe::up:
+            judge(throughput >= before_throughput_ *
+                                    (1 + gain_to_keep_up * (step_up - 1)),
+                  now);
+            return;
+        case probe::down:
+            judge(throughput >= before_throughput_ * throughput_to_keep_down,
+                  now);
+            return;
+        }
+    }
+
+    void begin_probe(double throughput, double self_time)
+    {
+        before_limit_ = limit_;
+        before_throughput_ = throughput;
+        const bool down = self_time > baseline_ * inflated || try_down_;
+        probe_ = down ? probe::settling_down : probe::settling_up;
+        set(limit_ * (down ? step_down : step_up));
+    }
+
+    void judge(bool keep, time_point now)
+    {
+        const bool was_down = probe_ == probe::down;
+        probe_ = probe::none;
+        if (keep)
+        {
+            probe_gap_ = shortest_probe_gap;
+            try_down_ = was_down;
+        }
+        else
+        {
+            limit_ = before_limit_;
+            probe_gap_ = std::min(probe_gap_ * 2, longest_probe_gap);
+            try_down_ = !was_down;
+        }
+        next_probe_ = now + probe_gap_;
+    }
+
+    void abandon_probe()
+    {
+        if (probe_ != probe::none)
+        {
+            limit_ = before_limit_;
+            probe_ = probe::none;
+        }
+    }
+
+    double lowest_;
+    double highest_;
+    duration cold_start_;
+    double limit_;
+    time_point first_start_{};
+    time_point window_start_{};
+    time_point last_refusal_{};
+    time_point next_probe_{};
+    duration probe_gap_{shortest_probe_gap};
+    probe probe_{probe::none};
+    bool try_down_{false};
+    double before_limit_{0};
+    double before_throughput_{0};
+    double baseline_{0};
+    unsigned finished_{0};
+    unsigned starts_{0};
+    unsigned saturated_starts_{0};
+    double self_time_sum_{0};
+};
+
+} // namespace
+
+std::unique_ptr<concurrency_limit> make_fixed_limit(std::uint32_t slots)
+{
+    return std::make_unique<fixed_limit>(std::max(1U, slots));
+}
+
+std::unique_ptr<concurrency_limit>
+make_adaptive_limit(std::uint32_t published_slots, duration cold_start)
+{
+    return std::make_unique<adaptive_limit>(std::max(1U, published_slots),
+                                            cold_start);
+}
+
+} // namespace jujubespan
--- /dev/null
+++ b/src/jujubespan/policy/retry_budget.cpp
@@ -0,0 +1,55 @@
+#include "jujubespan/policy/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace jujubespan
+{
+
+std::uint32_t retry_budget::lend()
+{
+    const std::uint32_t part = (held_ + 1) / 2;
+    held_ -= part;
+    return part;
+}
+
+void retry_budget::give_back(std::uint32_t unspent, std::uint32_t lent)
+{
+    held_ += std::min(unspent, lent);
+}
+
+bool retry_budget::spend()
+{
+    if (held_ == 0)
+    {
+        return false;
+    }
+    --held_;
+    return true;
+}
+
+retry_ratio::retry_ratio(double ratio, double burst)
+    : ratio_(ratio), burst_(burst), tokens_(burst)
+{
+}
+
+void retry_ratio::on_first_attempt()
+{
+    tokens_ = std::min(burst_, tokens_ + ratio_);
+}
+
+bool retry_ratio::allow_retry()
+{
+    if (tokens_ < 1)
+    {
+        return false;
+    }
+    tokens_ -= 1;
+    return true;
+}
+
+duration jittered_retry_after(duration base, double random)
+{
+    return base + from_seconds(seconds(base) * random);
+}
+
+} // namespace jujubespan
--- /dev/null
+++ b/src/jujubespan/policy/upstream_set.cpp
@@ -0,0 +1,320 @@
+#include "jujubespan/policy/upstream_set.hpp"
+
+#include "jujubespan/policy/stable_hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubespan
+{
+
+namespace
+{
+
+constexpr double slow_start_share = 0.1;
+// An upstream below this utilisation is worth a retry after a refusal.
+constexpr double spare_utilisation = 0.9;
+
+bool contains(std::span<const std::string> ids, std::string_view id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+upstream_set::upstream_set(std::string self, std::string domain,
+                           routing_options options)
+    : self_(std::move(self)), domain_(std::move(domain)), options_(options)
+{
+}
+
+void upstream_set::apply(std::span<const instance> list, bool fresh,
+                         time_point now)
+{
+    std::vector<member> next;
+    next.reserve(list.size());
+    for (const auto& item : list)
+    {
+        member* known = find(item.id);
+        if (known != nullptr && known->info.call_address == item.call_address)
+        {
+            known->info = item;
+            next.push_back(std::move(*known));
+            continue;
+        }
+        member added;
+        added.info = item;
+        added.joined = fresh ? now : now - options_.slow_start;
+        next.push_back(std::move(added));
+    }
+    members_ = std::move(next);
+    choose_subset();
+}
+
+void upstream_set::choose_subset()
+{
+    std::vector<member*> order;
+    for (auto& m : members_)
+    {
+        m.in_subset = false;
+        if (!m.info.leaving && !m.said_leaving)
+        {
+            order.push_back(&m);
+        }
+    }
+    const auto weight = [this](const member* m)
+    { return stable_hash(m->info.id, stable_hash(self_)); };
+    std::sort(order.begin(), order.end(),
+              [&](auto* a, auto* b)
+              {
+                  const bool own_a = a->info.failure_domain == domain_;
+                  const bool own_b = b->info.failure_domain == domain_;
+                  return std::pair(!own_a, weight(a)) <
+                         std::pair(!own_b, weight(b));
+              });
+    // Half of the subset at the most is own domain, so that a domain whose
+    // instances are all overloaded or gone can spill over at once.
+    std::size_t own = 0;
+    std::size_t chosen = 0;
+    for (auto* m : order)
+    {
+        const bool is_own = m->info.failure_domain == domain_;
+        const bool own_full = own >= (options_.subset_size + 1) / 2 &&
+                              order.size() > own &&
+                              order.back()->info.failure_domain != domain_;
+        if (chosen >= options_.subset_size || (is_own && own_full))
+        {
+            continue;
+        }
+        m->in_subset = true;
+        ++chosen;
+        own += is_own ? 1 : 0;
+    }
+}
+
+std::optional<std::string>
+upstream_set::pick(std::uint64_t random, std::span<const std::string> exclude,
+                   time_point now)
+{
+    auto pool = candidates(exclude, true, now);
+    const bool saturated =
+        std::all_of(pool.begin(), pool.end(),
+                    [&](const member* m) { return utilisation(*m, now) >= 1; });
+    if (saturated)
+    {
+        const auto others = candidates(exclude, false, now);
+        pool.insert(pool.end(), others.begin(), others.end());
+    }
+    if (pool.empty())
+    {
+        return std::nullopt;
+    }
+    const std::size_t first = random % pool.size();
+    const std::size_t second =
+        (first + 1 +
+         (random >> 32U) % std::max<std::size_t>(pool.size() - 1, 1)) %
+        pool.size();
+    member* chosen = pool[first];
+    if (utilisation(*pool[second], now) < utilisation(*chosen, now))
+    {
+        chosen = pool[second];
+    }
+    chosen->trial = chosen->ejections > 0;
+    return chosen->info.id;
+}
+
+std::vector<upstream_set::member*>
+upstream_set::candidates(std::span<const std::string> exclude, bool own_domain,
+                         time_point now)
+{
+    std::vector<member*> result;
+    for (auto& m : members_)
+    {
+        const bool own = m.info.failure_domain == domain_;
+        if (own == own_domain && m.in_subset && available(m, now) &&
+            !contains(exclude, m.info.id))
+        {
+            result.push_back(&m);
+        }
+    }
+    return result;
+}
+
+bool upstream_set::available(const member& m, time_point now) const
+{
+    if (m.info.leaving || m.said_leaving)
+    {
+        return false;
+    }
+    if (now < m.ejected_until)
+    {
+        return false;
+    }
+    // After an ejection one trial call at a time until one succeeds.
+    return m.ejections == 0 || !m.trial;
+}
+
+double upstream_set::utilisation(const member& m, time_point now) const
+{
+    double capacity = m.info.slots;
+    double used = m.in_flight;
+    if (m.load.limit > 0 && now - m.load_at <= options_.load_lifetime)
+    {
+        capacity = m.load.limit;
+        used = std::max<double>(used, m.load.in_flight);
+    }
+    const double warm =
+        seconds(now - m.joined) / std::max(seconds(options_.slow_start), 1e-3);
+    capacity *= std::clamp(warm, slow_start_share, 1.0);
+    return (used + 1) / std::max(capacity, 1e-3);
+}
+
+bool upstream_set::has_spare(std::span<const std::string> tried,
+                             time_point now) const
+{
+    return std::any_of(members_.begin(), members_.end(),
+                       [&](const member& m)
+                       {
+                           return m.in_subset && available(m, now) &&
+                                  !contains(tried, m.info.id) &&
+                                  utilisation(m, now) < spare_utilisation;
+                       });
+}
+
+void upstream_set::on_start(std::string_view id, time_point /*now*/)
+{
+    if (member* m = find(id))
+    {
+        ++m->in_flight;
+    }
+}
+
+void upstream_set::on_finish(std::string_view id, attempt_result result,
+                             time_point now)
+{
+    member* m = find(id);
+    if (m == nullptr)
+    {
+        return;
+    }
+    m->in_flight -= m->in_flight > 0 ? 1 : 0;
+    m->trial = false;
+    if (result != attempt_result::failure)
+    {
+        m->failures = 0;
+        m->ejections = 0;
+        return;
+    }
+    ++m->failures;
+    const bool failed_trial = m->ejections > 0 && now >= m->ejected_until;
+    if (m->failures >= options_.failures_to_eject || failed_trial)
+    {
+        eject(*m, now);
+    }
+}
+
+void upstream_set::eject(member& m, time_point now)
+{
+    if (!may_eject(now) && now >= m.ejected_until)
+    {
+        return;
+    }
+    const auto factor = 1U << std::min(m.ejections, 8U);
+    const duration length =
+        std::min(options_.first_ejection * factor, options_.longest_ejection);
+    m.ejected_until = now + length;
+    ++m.ejections;
+    m.failures = 0;
+}
+
+bool upstream_set::may_eject(time_point now) const
+{
+    std::size_t usable = 0;
+    std::size_t serving = 0;
+    for (const auto& m : members_)
+    {
+        if (m.info.leaving || m.said_leaving || !m.in_subset)
+        {
+            continue;
+        }
+        ++usable;
+        serving += now >= m.ejected_until ? 1 : 0;
+    }
+    return static_cast<double>(serving) - 1 >=
+           options_.ejection_floor * static_cast<double>(usable);
+}
+
+std::size_t upstream_set::ejected(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(members_.begin(), members_.end(),
+                      [now](const auto& m) { return now < m.ejected_until; }));
+}
+
+void upstream_set::on_load(std::string_view id, upstream_load load,
+                           time_point now)
+{
+    if (member* m = find(id))
+    {
+        m->load = load;
+        m->load_at = now;
+    }
+}
+
+void upstream_set::on_leaving(std::string_view id)
+{
+    member* m = find(id);
+    if (m != nullptr && !m->said_leaving)
+    {
+        m->said_leaving = true;
+        choose_subset();
+    }
+}
+
+void upstream_set::on_restart(std::string_view id, time_point now)
+{
+    if (member* m = find(id))
+    {
+        m->said_leaving = false;
+        m->joined = now;
+        m->failures = 0;
+        m->ejections = 0;
+        m->ejected_until = {};
+        choose_subset();
+    }
+}
+
+void upstream_set::forget_evidence()
+{
+    for (auto& m : members_)
+    {
+        m.load = {};
+        m.failures = 0;
+        m.ejections = 0;
+        m.ejected_until = {};
+        m.trial = false;
+    }
+}
+
+std::vector<std::string> upstream_set::subset() const
+{
+    std::vector<std::string> ids;
+    for (const auto& m : members_)
+    {
+        if (m.in_subset)
+        {
+            ids.push_back(m.info.id);
+        }
+    }
+    return ids;
+}
+
+upstream_set::member* upstream_set::find(std::string_view id)
+{
+    const auto found =
+        std::find_if(members_.begin(), members_.end(),
+                     [id](const member& m) { return m.info.id == id; });
+    return found == members_.end() ? nullptr : &*found;
+}
+
+} // namespace jujubespan
