Callbacks end with their connection, not with its socket

Cause: a timer or queued call used the socket as its context; the socket is deleted later than the connection, so the callback ran on a dead object.

--- a/include/jujubespan/config/json_value.hpp
+++ b/include/jujubespan/config/json_value.hpp
@@ -7,7 +7,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -15,9 +14,10 @@
 {
 
 struct json_value;
+struct json_member;
 
 using json_array = std::vector<json_value>;
-using json_object = std::vector<std::pair<std::string, json_value>>;
+using json_object = std::vector<json_member>;
 
 /// @brief A JSON value that knows the line on which it ends.
 struct json_value
@@ -28,6 +28,13 @@
     std::size_t line{0};
 };
 
+/// @brief One member of an object.
+struct json_member
+{
+    std::string key;
+    json_value value;
+};
+
 /// @brief Parses JSON with comments; reports repeated keys and values nested
 /// too deeply.
 /// @return empty when the text could not be parsed; `errors` says why.
--- a/include/jujubespan/config/object_reader.hpp
+++ b/include/jujubespan/config/object_reader.hpp
@@ -25,7 +25,7 @@
 
     /// @brief Reads a string field; reports it when missing.
     std::string required_string(std::string_view key);
-    std::string string_or(std::string_view key, std::string fallback);
+    std::string string_or(std::string_view key, std::string_view fallback);
     bool bool_or(std::string_view key, bool fallback);
     bool required_bool(std::string_view key);
 
@@ -50,7 +50,7 @@
     std::span<const json_value> array(std::string_view key, bool required);
 
     /// @brief The members of an object field; empty when it is missing.
-    std::span<const std::pair<std::string, json_value>>
+    std::span<const json_member>
     object(std::string_view key);
 
     /// @brief Reports a mistake in a field.
--- a/include/jujubespan/policy/admission_queue.hpp
+++ b/include/jujubespan/policy/admission_queue.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace jujubespan
@@ -74,7 +75,11 @@
         std::uint64_t sequence;
         std::uint64_t id;
 
-        auto operator<=>(const priority&) const = default;
+        bool operator<(const priority& other) const
+        {
+            return std::pair(rank, sequence) <
+                   std::pair(other.rank, other.sequence);
+        }
     };
 
     static std::uint64_t rank_of(const queued_call& call);
--- a/include/jujubespan/policy/shed_level.hpp
+++ b/include/jujubespan/policy/shed_level.hpp
@@ -18,7 +18,7 @@
 /// @brief Requests with `key < level` are admitted.
 using shed_level = std::uint32_t;
 
-inline constexpr shed_key keys_per_class = 128;
+inline constexpr shed_key keys_per_class = 1024;
 inline constexpr shed_level open_level = keys_per_class * request_class_count;
 
 /// @brief Computes the key of a request.
@@ -27,7 +27,8 @@
 /// every node of the chain refuses the same requests. It is scaled by the
 /// customer's use of its contract: a customer at a fifth of its rate only has
 /// positions in the first fifth and is refused last.
-/// @param use offered rate over contract rate; clamped to [0, 1].
+/// @param use offered rate over contract rate; clamped to [0.25, 1], so that
+/// positions stay fine enough to divide the load.
 shed_key make_shed_key(request_class cls, std::string_view request_id,
                        double use);
 
--- a/src/jujubespan/config/json_value.cpp
+++ b/src/jujubespan/config/json_value.cpp
@@ -92,7 +92,7 @@
         auto& members = std::get<json_object>(stack_.back().value.data);
         const bool repeated =
             std::any_of(members.begin(), members.end(),
-                        [&](const auto& item) { return item.first == name; });
+                        [&](const auto& item) { return item.key == name; });
         if (repeated)
         {
             errors_.add(line_, name, "the key is repeated");
@@ -163,7 +163,7 @@
             return;
         }
         std::get<json_object>(parent.value.data)
-            .emplace_back(std::move(parent.key), std::move(value));
+            .push_back({std::move(parent.key), std::move(value)});
     }
 
     const std::size_t& line_;
--- a/src/jujubespan/config/object_reader.cpp
+++ b/src/jujubespan/config/object_reader.cpp
@@ -28,7 +28,7 @@
 {
     return object_ != nullptr &&
            std::any_of(object_->begin(), object_->end(),
-                       [key](const auto& item) { return item.first == key; });
+                       [key](const auto& item) { return item.key == key; });
 }
 
 const json_value* object_reader::find(std::string_view key)
@@ -40,8 +40,8 @@
     }
     const auto found =
         std::find_if(object_->begin(), object_->end(),
-                     [key](const auto& item) { return item.first == key; });
-    return found == object_->end() ? nullptr : &found->second;
+                     [key](const auto& item) { return item.key == key; });
+    return found == object_->end() ? nullptr : &found->value;
 }
 
 const json_value* object_reader::require(std::string_view key)
@@ -93,10 +93,11 @@
     return data == nullptr ? std::string() : *data;
 }
 
-std::string object_reader::string_or(std::string_view key, std::string fallback)
+std::string object_reader::string_or(std::string_view key,
+                                     std::string_view fallback)
 {
     const auto* data = typed<std::string>(find(key), key, "a string");
-    return data == nullptr ? std::move(fallback) : *data;
+    return data == nullptr ? std::string(fallback) : *data;
 }
 
 bool object_reader::bool_or(std::string_view key, bool fallback)
@@ -205,12 +206,12 @@
     return data == nullptr ? std::span<const json_value>() : *data;
 }
 
-std::span<const std::pair<std::string, json_value>>
+std::span<const json_member>
 object_reader::object(std::string_view key)
 {
     const auto* data = typed<json_object>(find(key), key, "an object");
     return data == nullptr
-               ? std::span<const std::pair<std::string, json_value>>()
+               ? std::span<const json_member>()
                : *data;
 }
 
--- a/src/jujubespan/engine/admission_gate.cpp
+++ b/src/jujubespan/engine/admission_gate.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr duration control_interval = std::chrono::milliseconds(100);
+constexpr duration control_interval = std::chrono::milliseconds(50);
 constexpr double rate_weight = 0.3;
 constexpr double service_time_weight = 0.05;
 
--- a/src/jujubespan/engine/call_engine_outbound.cpp
+++ b/src/jujubespan/engine/call_engine_outbound.cpp
@@ -218,7 +218,7 @@
     out.request = std::move(call.request);
     out.service = options_.service;
     out.method = call.method;
-    out.root_method = call.method;
+    out.root_method = std::move(call.method);
     out.forwarded = true;
     out.owner = std::move(owner);
     launch(std::move(out), now);
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -27,13 +27,13 @@
     explicit client_connection(client& owner)
         : owner_(owner), socket_(new QTcpSocket)
     {
-        QObject::connect(socket_, &QTcpSocket::connected, socket_,
+        QObject::connect(socket_, &QTcpSocket::connected, &guard_,
                          [this] { on_connected(); });
-        QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
+        QObject::connect(socket_, &QTcpSocket::readyRead, &guard_,
                          [this] { on_readable(); });
-        QObject::connect(socket_, &QTcpSocket::errorOccurred, socket_,
+        QObject::connect(socket_, &QTcpSocket::errorOccurred, &guard_,
                          [this] { on_lost(); });
-        QObject::connect(socket_, &QTcpSocket::disconnected, socket_,
+        QObject::connect(socket_, &QTcpSocket::disconnected, &guard_,
                          [this] { on_lost(); });
     }
 
@@ -60,7 +60,7 @@
         const auto& address = owner_.address_;
         socket_->connectToHost(
             QHostAddress(QString::fromStdString(address.host)), address.port);
-        QTimer::singleShot(connect_timeout, socket_,
+        QTimer::singleShot(connect_timeout, &guard_,
                            [this]
                            {
                                if (!sent_ && exchange_ != 0)
@@ -143,6 +143,7 @@
 
     client& owner_;
     QTcpSocket* socket_;
+    QObject guard_; // Ends callbacks with this object, not with the socket.
     std::optional<response_parser> parser_;
     QByteArray bytes_;
     QByteArray buffer_;
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -49,9 +49,9 @@
         // Bytes of later requests stay with the kernel beyond this.
         socket_->setReadBufferSize(
             static_cast<qint64>(owner.limits_.max_header_bytes));
-        QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
+        QObject::connect(socket_, &QTcpSocket::readyRead, &guard_,
                          [this] { on_readable(); });
-        QObject::connect(socket_, &QTcpSocket::disconnected, socket_,
+        QObject::connect(socket_, &QTcpSocket::disconnected, &guard_,
                          [this] { owner_.remove(this); });
     }
 
@@ -96,7 +96,7 @@
         {
             // Not from within the handler of the finished exchange.
             QMetaObject::invokeMethod(
-                socket_, [this] { on_readable(); }, Qt::QueuedConnection);
+                &guard_, [this] { on_readable(); }, Qt::QueuedConnection);
         }
     }
 
@@ -195,6 +195,7 @@
 
     server& owner_;
     QTcpSocket* socket_;
+    QObject guard_; // Ends callbacks with this object, not with the socket.
     request_parser parser_;
     QByteArray buffer_;
     std::uint64_t exchange_{0};
--- a/src/jujubespan/operators/report.cpp
+++ b/src/jujubespan/operators/report.cpp
@@ -113,7 +113,7 @@
                "Times the traffic thread did not run for half a second.",
                static_cast<double>(metrics.pauses));
     add_single(out, "jujubespan_admission_level", "gauge",
-               "Shed keys below this are admitted; 512 admits all.",
+               "Shed keys below this are admitted; 4096 admits all.",
                status.level);
     add_single(out, "jujubespan_running", "gauge",
                "Calls running on the backend server.", status.running);
--- a/src/jujubespan/policy/shed_level.cpp
+++ b/src/jujubespan/policy/shed_level.cpp
@@ -14,9 +14,9 @@
 // Admitted part of the completion rate, so that the queue drains.
 constexpr double admit_ratio = 0.98;
 constexpr duration overload_wait = std::chrono::milliseconds(20);
-constexpr shed_level max_step = 64;
 // Keys that stay open at any load; their calls measure the recovery.
-constexpr shed_level lowest_level = 8;
+constexpr shed_level lowest_level = keys_per_class / 16;
+constexpr double lowest_use = 0.25;
 // Weight that earlier intervals keep from one interval to the next.
 constexpr double memory = 0.7;
 
@@ -27,7 +27,7 @@
 {
     const auto hash = stable_hash(request_id);
     const double unit = static_cast<double>(hash >> 11) * 0x1.0p-53;
-    const double scaled = unit * std::clamp(use, 0.0, 1.0);
+    const double scaled = unit * std::clamp(use, lowest_use, 1.0);
     const auto position = std::min<shed_key>(
         static_cast<shed_key>(scaled * keys_per_class), keys_per_class - 1);
     return static_cast<shed_key>(cls) * keys_per_class + position;
@@ -73,7 +73,7 @@
     else if (sample.queue_was_empty && level_ < open_level)
     {
         level_ = std::min(level_ + step_, open_level);
-        step_ = std::min(step_ * 2, max_step);
+        step_ *= 2;
     }
     for (auto& count : offered_)
     {
