--- a/apps/jujubespan/load.cpp
+++ b/apps/jujubespan/load.cpp
@@ -4,6 +4,7 @@
 #include "jujubespan/config/object_reader.hpp"
 #include "jujubespan/config/settings.hpp"
 #include "jujubespan/config/status_text.hpp"
+#include "jujubespan/http/descriptor_limit.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -154,6 +155,7 @@
     plan->duration_s = seconds_arg.getValue();
     plan->seed = seed.getValue();
     plan->id_prefix = prefix.getValue();
+    http::raise_descriptor_limit();
     load_generator generator(*plan, [] { QCoreApplication::quit(); });
     generator.start();
     QCoreApplication::exec();
--- a/examples/standin/backend_standin.cpp
+++ b/examples/standin/backend_standin.cpp
@@ -3,6 +3,7 @@
 #include "standin/work_server.hpp"
 
 #include "jujubespan/config/settings.hpp"
+#include "jujubespan/http/descriptor_limit.hpp"
 #include "jujubespan/config/status_text.hpp"
 
 #include <fmt/format.h>
@@ -27,6 +28,7 @@
 
 int main(int argc, char** argv)
 {
+    jj::http::raise_descriptor_limit();
     QCoreApplication app(argc, argv);
     std::string settings_path;
     std::string script_path;
--- a/examples/standin/platform_standin.cpp
+++ b/examples/standin/platform_standin.cpp
@@ -4,6 +4,7 @@
 
 #include "jujubespan/config/contract.hpp"
 #include "jujubespan/config/settings.hpp"
+#include "jujubespan/http/descriptor_limit.hpp"
 #include "jujubespan/config/status_text.hpp"
 #include "jujubespan/platform/codec.hpp"
 
@@ -74,6 +75,7 @@
 
 int main(int argc, char** argv)
 {
+    jj::http::raise_descriptor_limit();
     QCoreApplication app(argc, argv);
     std::string host;
     int port = 0;
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -31,10 +31,13 @@
                          [this] { on_connected(); });
         QObject::connect(socket_, &QTcpSocket::readyRead, &guard_,
                          [this] { on_readable(); });
-        QObject::connect(socket_, &QTcpSocket::errorOccurred, &guard_,
-                         [this] { on_lost(); });
-        QObject::connect(socket_, &QTcpSocket::disconnected, &guard_,
-                         [this] { on_lost(); });
+        // Queued: an error may be raised while the request is being started.
+        QObject::connect(
+            socket_, &QTcpSocket::errorOccurred, &guard_,
+            [this] { on_lost(); }, Qt::QueuedConnection);
+        QObject::connect(
+            socket_, &QTcpSocket::disconnected, &guard_,
+            [this] { on_lost(); }, Qt::QueuedConnection);
     }
 
     client_connection(const client_connection&) = delete;
--- a/src/jujubespan/node/node.cpp
+++ b/src/jujubespan/node/node.cpp
@@ -1,6 +1,7 @@
 #include "jujubespan/node/node.hpp"
 
 #include "jujubespan/config/status_text.hpp"
+#include "jujubespan/http/descriptor_limit.hpp"
 #include "jujubespan/metrics/log.hpp"
 #include "jujubespan/node/control_loop.hpp"
 #include "jujubespan/node/traffic_loop.hpp"
@@ -90,6 +91,7 @@
 
 int run_node(const config::settings& options, int& argc, char** argv)
 {
+    http::raise_descriptor_limit();
     const int signals = open_stop_signals();
     QCoreApplication app(argc, argv);
     set_log_level(parse_log_level(options.log_level).value_or(log_level::info));
