Admission level follows capacity, idle slots and what waits behind it

Cause: the level rose in doubling steps and reopened whole classes at once; it was cut from a histogram with too few completions in it, on every interval of one overload; attempts timed out at half the deadline and were repeated at peers that were alive but slow. Changes: capacity from slots over occupancy; one cut an effect time; a rise lets in what idle slots have room for, by remembered load; calls under way may queue four times as long; no second attempt while the peer is heard from.

--- a/include/jujubespan/config/object_reader.hpp
+++ b/include/jujubespan/config/object_reader.hpp
@@ -50,8 +50,7 @@
     std::span<const json_value> array(std::string_view key, bool required);
 
     /// @brief The members of an object field; empty when it is missing.
-    std::span<const json_member>
-    object(std::string_view key);
+    std::span<const json_member> object(std::string_view key);
 
     /// @brief Reports a mistake in a field.
     void fail(std::string_view key, std::string message);
--- a/include/jujubespan/engine/admission_gate.hpp
+++ b/include/jujubespan/engine/admission_gate.hpp
@@ -52,7 +52,10 @@
     void on_refused(shed_key key) { controller_.on_offered(key); }
 
     /// @brief A running call ended.
-    void on_finish(duration self_time, bool completed, time_point now);
+    /// @param self_time time without waits for other services.
+    /// @param occupancy time that the call held its slot.
+    void on_finish(duration self_time, duration occupancy, bool completed,
+                   time_point now);
 
     /// @brief The backend server refused a call as overloaded.
     void on_backend_refusal(time_point now);
@@ -77,15 +80,18 @@
 
 private:
     void count_start(time_point now);
+    void integrate(time_point now);
 
     std::unique_ptr<concurrency_limit> limit_;
     admission_queue queue_;
     shed_controller controller_;
     std::uint32_t running_{0};
+    double busy_seconds_{0}; // slots in use, over the interval
+    time_point integrated_to_{};
     time_point interval_start_{};
     load_sample sample_;
     double rate_{0};
-    double service_time_{0};
+    double occupancy_{0}; // seconds
 };
 
 } // namespace jujubespan::engine
--- a/include/jujubespan/engine/call_engine.hpp
+++ b/include/jujubespan/engine/call_engine.hpp
@@ -175,6 +175,7 @@
         std::vector<std::string> tried;
         std::string peer;
         std::uint64_t attempt{0}; ///< Zero: none in flight.
+        time_point attempt_started{};
         time_point attempt_deadline{};
     };
 
--- a/include/jujubespan/policy/admission_queue.hpp
+++ b/include/jujubespan/policy/admission_queue.hpp
@@ -35,8 +35,9 @@
 /// @brief Priority queue bounded by waiting time.
 ///
 /// Order: class, calls under way before new ones, shed key, arrival. The
-/// bound is the number of calls that complete within the target wait; a call
-/// of higher priority evicts the one of lowest priority.
+/// bound is the number of calls that complete within the target wait; calls
+/// under way have a bound four times as high, since a refusal wastes the work
+/// above them. A call of higher priority evicts the one of lowest priority.
 class admission_queue
 {
 public:
--- a/include/jujubespan/policy/shed_level.hpp
+++ b/include/jujubespan/policy/shed_level.hpp
@@ -40,15 +40,19 @@
 {
     std::uint32_t completed{0}; ///< Calls finished in the interval.
     std::uint32_t dropped{0};   ///< Calls dropped or evicted from the queue.
+    double capacity{0};         ///< Calls the slots can finish in it.
+    double utilisation{0};      ///< Mean share of slots in use.
     duration oldest_wait{};     ///< Age of the oldest queued call.
     bool queue_was_empty{true}; ///< The queue emptied in the interval.
 };
 
 /// @brief Chooses the admission level of one node from what it was offered.
 ///
-/// Under overload the level falls to where the offered keys fit the rate of
-/// completions; otherwise it rises in steps that double, so that a closed
-/// level is open again in less than a second.
+/// Under overload the level falls to where the offered keys fit the capacity.
+/// While slots are idle it rises to let in about as many calls as they have
+/// room for, then waits for the effect. How many calls are behind a closed
+/// level is remembered for some seconds; a level with nothing behind it is
+/// open again in less than a second.
 class shed_controller
 {
 public:
@@ -65,12 +69,20 @@
     void reset();
 
 private:
+    void remember_offered();
+    [[nodiscard]] bool must_cut(const load_sample& sample) const;
+    void cut(const load_sample& sample);
     [[nodiscard]] shed_level level_for(double budget) const;
+    [[nodiscard]] shed_level raised_level() const;
 
     std::array<double, open_level> offered_{};
-    double completed_{0};
+    std::array<double, open_level> remembered_{};
+    double capacity_{0};
     shed_level level_{open_level};
-    shed_level step_{1};
+    double utilisation_{0};
+    unsigned intervals_to_wait_{0};
+    duration wait_at_cut_{};
+    shed_level step_keys_{open_level};
 };
 
 } // namespace jujubespan
--- a/include/jujubespan/policy/upstream_set.hpp
+++ b/include/jujubespan/policy/upstream_set.hpp
@@ -75,6 +75,9 @@
 
     void on_load(std::string_view id, upstream_load load, time_point now);
 
+    /// @brief True when an upstream has sent anything since a time.
+    [[nodiscard]] bool heard_since(std::string_view id, time_point when);
+
     /// @brief The upstream said itself that it is leaving.
     void on_leaving(std::string_view id);
 
--- a/src/jujubespan/engine/admission_gate.cpp
+++ b/src/jujubespan/engine/admission_gate.cpp
@@ -11,7 +11,7 @@
 
 constexpr duration control_interval = std::chrono::milliseconds(50);
 constexpr double rate_weight = 0.3;
-constexpr double service_time_weight = 0.05;
+constexpr double occupancy_weight = 0.05;
 
 } // namespace
 
@@ -27,8 +27,18 @@
                   : std::numeric_limits<std::uint32_t>::max();
 }
 
+void admission_gate::integrate(time_point now)
+{
+    if (integrated_to_ != time_point{})
+    {
+        busy_seconds_ += running_ * seconds(now - integrated_to_);
+    }
+    integrated_to_ = now;
+}
+
 void admission_gate::count_start(time_point now)
 {
+    integrate(now);
     ++running_;
     if (limit_)
     {
@@ -55,20 +65,20 @@
     return result;
 }
 
-void admission_gate::on_finish(duration self_time, bool completed,
-                               time_point now)
+void admission_gate::on_finish(duration self_time, duration occupancy,
+                               bool completed, time_point now)
 {
+    integrate(now);
     running_ -= running_ > 0 ? 1 : 0;
     sample_.completed += completed ? 1 : 0;
     if (limit_ && completed)
     {
         limit_->on_finish(self_time, now);
     }
-    service_time_ =
-        service_time_ == 0
-            ? seconds(self_time)
-            : service_time_ +
-                  service_time_weight * (seconds(self_time) - service_time_);
+    const double held = seconds(occupancy);
+    occupancy_ = occupancy_ == 0
+                     ? held
+                     : occupancy_ + occupancy_weight * (held - occupancy_);
 }
 
 void admission_gate::on_backend_refusal(time_point now)
@@ -114,10 +124,18 @@
     sample_.dropped += static_cast<std::uint32_t>(expired.size());
     sample_.oldest_wait = queue_.oldest_wait(now);
     sample_.queue_was_empty = sample_.queue_was_empty || queue_.empty();
+    integrate(now);
+    const double slot_seconds = limit(now) * seconds(elapsed);
+    sample_.utilisation = std::min(busy_seconds_ / slot_seconds, 1.0);
+    busy_seconds_ = 0;
+    if (limit_ && occupancy_ > 0)
+    {
+        sample_.capacity = limit(now) / occupancy_ * seconds(elapsed);
+    }
     controller_.update(sample_);
     const double rate = sample_.completed / seconds(elapsed);
     rate_ += rate_weight * (rate - rate_);
-    queue_.on_rate(std::max(rate, rate_), from_seconds(service_time_));
+    queue_.on_rate(std::max(rate, rate_), from_seconds(occupancy_));
     sample_ = {};
     sample_.queue_was_empty = queue_.empty();
     return expired;
--- a/src/jujubespan/engine/call_engine.cpp
+++ b/src/jujubespan/engine/call_engine.cpp
@@ -299,8 +299,9 @@
             call.children_time + (call.open_children > 0
                                       ? now - call.children_since
                                       : duration::zero());
-        gate_.on_finish(now - call.started - waiting,
-                        value.result == outcome::answered, now);
+        const duration held = now - call.started;
+        gate_.on_finish(held - waiting, held, value.result == outcome::answered,
+                        now);
     }
     settle_ticket(call, value);
     value.credits_unspent = call.budget.held();
@@ -473,6 +474,11 @@
     {
         const std::uint64_t id = attempt_deadlines_.begin()->second;
         auto& out = outbound_.at(id);
+        attempt_deadlines_.erase(attempt_deadlines_.begin());
+        if (upstreams(out.service).heard_since(out.peer, out.attempt_started))
+        {
+            continue; // Slow, but alive: a second attempt would add load.
+        }
         peers_.cancel(out.peer, out.attempt);
         end_attempt(id, unknown_outcome(reason::peer_lost),
                     attempt_result::failure, now);
--- a/src/jujubespan/engine/call_engine_outbound.cpp
+++ b/src/jujubespan/engine/call_engine_outbound.cpp
@@ -296,6 +296,7 @@
         attempts_[message.id] = id;
         const duration remaining = call.context.deadline - now;
         const bool may_retry = call.context.idempotent && budget.held() > 0;
+        call.attempt_started = now;
         call.attempt_deadline =
             may_retry ? now + remaining / 2 : call.context.deadline;
         if (may_retry)
--- a/src/jujubespan/policy/admission_queue.cpp
+++ b/src/jujubespan/policy/admission_queue.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t smallest_bound = 4;
 constexpr std::size_t first_bound = 64;
+constexpr std::size_t under_way_factor = 4;
 
 } // namespace
 
@@ -30,7 +31,10 @@
 {
     const priority entry{rank_of(call), next_sequence_++, call.id};
     offer_result result;
-    if (order_.size() >= bound_)
+    const std::size_t bound =
+        call.under_way ? std::min(bound_ * under_way_factor, hard_limit_)
+                       : bound_;
+    if (order_.size() >= bound)
     {
         const auto worst = std::prev(order_.end());
         if (order_.empty() || worst->rank <= entry.rank)
--- a/src/jujubespan/policy/upstream_set.cpp
+++ b/src/jujubespan/policy/upstream_set.cpp
@@ -261,6 +261,12 @@
     }
 }
 
+bool upstream_set::heard_since(std::string_view id, time_point when)
+{
+    const member* m = find(id);
+    return m != nullptr && m->load_at > when;
+}
+
 void upstream_set::on_leaving(std::string_view id)
 {
     member* m = find(id);
