Level from a target rate over remembered demand; limit by Little's law

Cause: stepwise cuts and rises overshot by the delay of the chain; the limit compared counts of completions, which vary with idle moments, and stepped below the true slots; levels were learned per method, so a class that was shut out never heard of a recovery. Changes: the level is where remembered demand meets a target rate (P on wait, I on idle slots); levels travel per service and hold for every method that reaches it; throughput of a probe is limit over own time.

--- a/include/jujubespan/engine/admission_gate.hpp
+++ b/include/jujubespan/engine/admission_gate.hpp
@@ -81,6 +81,7 @@
 private:
     void count_start(time_point now);
     void integrate(time_point now);
+    void measure_occupancy();
 
     std::unique_ptr<concurrency_limit> limit_;
     admission_queue queue_;
@@ -91,7 +92,9 @@
     time_point interval_start_{};
     load_sample sample_;
     double rate_{0};
-    double occupancy_{0}; // seconds
+    double occupancy_{0};    // seconds that a call holds its slot
+    double held_seconds_{0}; // by calls finished in the interval
+    unsigned finished_{0};
 };
 
 } // namespace jujubespan::engine
--- a/include/jujubespan/engine/answer.hpp
+++ b/include/jujubespan/engine/answer.hpp
@@ -2,13 +2,14 @@
 #define JUJUBESPAN_ENGINE_ANSWER_HPP
 
 #include "jujubespan/policy/http_message.hpp"
-#include "jujubespan/policy/shed_level.hpp"
+#include "jujubespan/policy/level_table.hpp"
 #include "jujubespan/policy/time.hpp"
 #include "jujubespan/policy/upstream_set.hpp"
 
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jujubespan::engine
 {
@@ -69,7 +70,7 @@
     engine::reason reason{engine::reason::none};
     http_response response;
     std::uint32_t credits_unspent{0};
-    shed_level level{open_level}; ///< Of the subtree that answered.
+    std::vector<service_level> levels; ///< Of the subtree that answered.
     bool elsewhere_may_help{false};
     duration retry_after{};
     bool leaving{false};
--- a/include/jujubespan/engine/call_engine.hpp
+++ b/include/jujubespan/engine/call_engine.hpp
@@ -199,6 +199,8 @@
     void settle_ticket(const inbound_call& call, const answer& value);
     void answer_caller(const inbound_call& call, answer value, time_point now);
     void send(const inbound_call& call, answer value, time_point now);
+    [[nodiscard]] std::vector<service_level>
+    levels_to_report(std::string_view method, time_point now) const;
     void note(const call_context& context, std::string_view method,
               const answer& value, time_point now);
     duration overload_retry_after();
@@ -250,6 +252,7 @@
     std::uint64_t incarnation_;
     std::uint64_t next_id_{1};
     time_point next_housekeeping_{};
+    time_point last_closed_{};
 
     absl::flat_hash_map<std::uint64_t, inbound_call> inbound_;
     absl::flat_hash_map<std::uint64_t, outbound_call> outbound_;
--- a/include/jujubespan/policy/level_table.hpp
+++ b/include/jujubespan/policy/level_table.hpp
@@ -5,49 +5,66 @@
 #include "jujubespan/policy/string_map.hpp"
 #include "jujubespan/policy/time.hpp"
 
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jujubespan
 {
 
-/// @brief Admission levels of the subtrees behind each method, learned from
+/// @brief Admission level of one service.
+struct service_level
+{
+    std::string service;
+    shed_level level{open_level};
+
+    bool operator==(const service_level&) const = default;
+};
+
+/// @brief Admission levels of the services behind this node, learned from
 /// replies.
 ///
-/// A level that is not confirmed for `level_lifetime` rises in doubling
-/// steps, so that recovery does not wait for traffic that is never admitted.
+/// A level learned from any reply holds for every method that is known to
+/// reach the service. A level that is not confirmed for a second rises in
+/// doubling steps, so that recovery does not wait for traffic that is never
+/// admitted.
 class level_table
 {
 public:
-    /// @brief Records the level that a reply carried.
-    /// @param method entry method whose requests reach the callee.
-    /// @param callee service and method that answered.
-    void learn(std::string_view method, std::string_view callee,
-               shed_level level, time_point now);
+    /// @brief Records the levels that a reply carried.
+    /// @param method entry method whose requests reach the services.
+    void learn(std::string_view method, std::span<const service_level> reported,
+               time_point now);
 
-    /// @brief Lowest level among the callees of a method.
+    /// @brief Lowest level among the services that a method reaches.
     [[nodiscard]] shed_level level(std::string_view method,
                                    time_point now) const;
 
-    /// @brief Drops callees not heard of for a minute.
+    /// @brief Levels to pass on in replies of a method, lowest first.
+    [[nodiscard]] std::vector<service_level> report(std::string_view method,
+                                                    time_point now) const;
+
+    /// @brief Drops what was not heard of for a minute.
     void expire(time_point now);
 
     /// @brief Forgets everything, as after a pause.
-    void clear() { methods_.clear(); }
+    void clear();
 
-    [[nodiscard]] std::size_t size() const { return methods_.size(); }
+    [[nodiscard]] std::size_t size() const { return services_.size(); }
 
 private:
     struct learned
     {
-        double level;
-        time_point at;
+        double level{open_level};
+        time_point at{};
     };
-    using callees = string_map<learned>;
+    using reached = string_map<time_point>;
 
     static shed_level effective(const learned& entry, time_point now);
 
-    string_map<callees> methods_;
+    string_map<learned> services_;
+    string_map<reached> methods_;
 };
 
 } // namespace jujubespan
--- a/include/jujubespan/policy/shed_level.hpp
+++ b/include/jujubespan/policy/shed_level.hpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <span>
 #include <string_view>
 
 namespace jujubespan
@@ -48,11 +49,12 @@
 
 /// @brief Chooses the admission level of one node from what it was offered.
 ///
-/// Under overload the level falls to where the offered keys fit the capacity.
-/// While slots are idle it rises to let in about as many calls as they have
-/// room for, then waits for the effect. How many calls are behind a closed
-/// level is remembered for some seconds; a level with nothing behind it is
-/// open again in less than a second.
+/// The level is where the rate of offered keys below it equals a target: the
+/// capacity, a little more while the queue is short, less the longer calls
+/// wait, times a correction that grows while slots are idle and shrinks while
+/// calls wait. The rate of keys that are refused elsewhere is no longer seen;
+/// it is remembered and forgotten over some seconds, faster while slots are
+/// idle, so that a closed level opens step by step.
 class shed_controller
 {
 public:
@@ -65,24 +67,24 @@
 
     [[nodiscard]] shed_level level() const { return level_; }
 
-    /// @brief Forgets the interval in progress, as after a pause.
+    /// @brief Forgets what was measured, as after a pause.
     void reset();
 
 private:
-    void remember_offered();
-    [[nodiscard]] bool must_cut(const load_sample& sample) const;
-    void cut(const load_sample& sample);
-    [[nodiscard]] shed_level level_for(double budget) const;
-    [[nodiscard]] shed_level raised_level() const;
-
-    std::array<double, open_level> offered_{};
-    std::array<double, open_level> remembered_{};
+    void observe(const load_sample& sample);
+    void correct();
+    [[nodiscard]] double target() const;
+    [[nodiscard]] shed_level level_for(std::span<const double> density,
+                                       double budget) const;
+
+    std::array<double, open_level> offered_{}; // in this interval
+    std::array<double, open_level> recent_{};  // calls an interval, smoothed
+    std::array<double, open_level> density_{}; // smoothed more, remembered
     double capacity_{0};
-    shed_level level_{open_level};
     double utilisation_{0};
-    unsigned intervals_to_wait_{0};
-    duration wait_at_cut_{};
-    shed_level step_keys_{open_level};
+    double wait_{0}; // seconds, smoothed
+    double correction_{1};
+    shed_level level_{open_level};
 };
 
 } // namespace jujubespan
--- a/src/jujubespan/engine/admission_gate.cpp
+++ b/src/jujubespan/engine/admission_gate.cpp
@@ -11,7 +11,7 @@
 
 constexpr duration control_interval = std::chrono::milliseconds(50);
 constexpr double rate_weight = 0.3;
-constexpr double occupancy_weight = 0.05;
+constexpr double occupancy_weight = 0.3;
 
 } // namespace
 
@@ -75,10 +75,22 @@
     {
         limit_->on_finish(self_time, now);
     }
-    const double held = seconds(occupancy);
+    held_seconds_ += seconds(occupancy);
+    ++finished_;
+}
+
+void admission_gate::measure_occupancy()
+{
+    if (finished_ == 0)
+    {
+        return;
+    }
+    const double mean = held_seconds_ / finished_;
     occupancy_ = occupancy_ == 0
-                     ? held
-                     : occupancy_ + occupancy_weight * (held - occupancy_);
+                     ? mean
+                     : occupancy_ + occupancy_weight * (mean - occupancy_);
+    held_seconds_ = 0;
+    finished_ = 0;
 }
 
 void admission_gate::on_backend_refusal(time_point now)
@@ -124,6 +136,7 @@
     sample_.dropped += static_cast<std::uint32_t>(expired.size());
     sample_.oldest_wait = queue_.oldest_wait(now);
     sample_.queue_was_empty = sample_.queue_was_empty || queue_.empty();
+    measure_occupancy();
     integrate(now);
     const double slot_seconds = limit(now) * seconds(elapsed);
     sample_.utilisation = std::min(busy_seconds_ / slot_seconds, 1.0);
--- a/src/jujubespan/engine/call_engine.cpp
+++ b/src/jujubespan/engine/call_engine.cpp
@@ -15,6 +15,7 @@
 constexpr duration pause_threshold = std::chrono::milliseconds(500);
 constexpr duration housekeeping_interval = std::chrono::seconds(1);
 constexpr std::size_t decision_capacity = 4096;
+constexpr duration report_open_level_for = std::chrono::seconds(2);
 constexpr duration retry_after_base = std::chrono::seconds(1);
 
 std::unique_ptr<concurrency_limit> make_limit(const config::settings& options)
@@ -72,6 +73,10 @@
 {
     start_of_event(now);
     expire_deadlines(now);
+    if (gate_.level() < open_level)
+    {
+        last_closed_ = now;
+    }
     for (const auto id : gate_.tick(now))
     {
         finish(id, refuse(reason::deadline), now);
@@ -342,8 +347,10 @@
 
 void call_engine::send(const inbound_call& call, answer value, time_point now)
 {
-    value.level =
-        std::min({value.level, gate_.level(), levels_.level(call.method, now)});
+    if (!call.from_caller)
+    {
+        value.levels = levels_to_report(call.method, now);
+    }
     value.leaving = leaving_;
     value.load = load(now);
     if (value.result == outcome::not_run &&
@@ -373,6 +380,18 @@
     }
 }
 
+std::vector<service_level>
+call_engine::levels_to_report(std::string_view method, time_point now) const
+{
+    auto levels = levels_.report(method, now);
+    // An opened level is reported for a while, so that callers learn of it.
+    if (now - last_closed_ <= report_open_level_for)
+    {
+        levels.push_back({options_.service, gate_.level()});
+    }
+    return levels;
+}
+
 void call_engine::note(const call_context& context, std::string_view method,
                        const answer& value, time_point now)
 {
--- a/src/jujubespan/engine/call_engine_outbound.cpp
+++ b/src/jujubespan/engine/call_engine_outbound.cpp
@@ -339,7 +339,7 @@
     auto& call = outbound_.at(id);
     if (!call.forwarded && options_.protection)
     {
-        levels_.learn(call.root_method, call.method, value.level, now);
+        levels_.learn(call.root_method, value.levels, now);
     }
     budget_of(call).give_back(value.credits_unspent, call.lent);
     const auto health = health_of(value);
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -109,7 +109,12 @@
         out.set_body(value.response.body);
     }
     out.set_credits_unspent(value.credits_unspent);
-    out.set_level(value.level);
+    for (const auto& item : value.levels)
+    {
+        auto* added = out.add_levels();
+        added->set_service(item.service);
+        added->set_level(item.level);
+    }
     out.set_elsewhere_may_help(value.elsewhere_may_help);
     out.set_retry_after_ms(
         static_cast<std::uint32_t>(milliseconds(value.retry_after)));
@@ -126,7 +131,7 @@
         in.status() < lowest_status || in.status() > highest_status;
     if (in.outcome() > static_cast<std::uint32_t>(engine::outcome::rejected) ||
         in.reason() > static_cast<std::uint32_t>(engine::reason::last) ||
-        in.level() > open_level || (answered && bad_status))
+        (answered && bad_status))
     {
         return std::nullopt;
     }
@@ -137,7 +142,11 @@
     value.response.headers = decode_headers(in);
     value.response.body = in.body();
     value.credits_unspent = in.credits_unspent();
-    value.level = in.level();
+    for (const auto& item : in.levels())
+    {
+        value.levels.push_back(
+            {item.service(), std::min(item.level(), open_level)});
+    }
     value.elsewhere_may_help = in.elsewhere_may_help();
     value.retry_after = std::chrono::milliseconds(in.retry_after_ms());
     value.leaving = in.leaving();
--- a/src/jujubespan/policy/concurrency_limit.cpp
+++ b/src/jujubespan/policy/concurrency_limit.cpp
@@ -138,9 +138,10 @@
 
     void close_window(time_point now)
     {
-        const double elapsed = seconds(now - window_start_);
-        const double throughput = finished_ / std::max(elapsed, 1e-6);
-        const double self_time = self_time_sum_ / finished_;
+        const double self_time = std::max(self_time_sum_ / finished_, 1e-6);
+        // By Little's law; unlike a count of completions it does not vary
+        // with the moments in which slots were idle.
+        const double throughput = limit_ / self_time;
         const bool saturated =
             starts_ > 0 && saturated_starts_ >= saturated_share * starts_;
         open_window(now);
@@ -191,25 +192,22 @@
     {
         before_limit_ = limit_;
         before_throughput_ = throughput;
-        const bool down = self_time > baseline_ * inflated || try_down_;
+        const bool down = self_time > baseline_ * inflated;
         probe_ = down ? probe::settling_down : probe::settling_up;
         set(limit_ * (down ? step_down : step_up));
     }
 
     void judge(bool keep, time_point now)
     {
-        const bool was_down = probe_ == probe::down;
         probe_ = probe::none;
         if (keep)
         {
             probe_gap_ = shortest_probe_gap;
-            try_down_ = was_down;
         }
         else
         {
             limit_ = before_limit_;
             probe_gap_ = std::min(probe_gap_ * 2, longest_probe_gap);
-            try_down_ = !was_down;
         }
         next_probe_ = now + probe_gap_;
     }
@@ -233,7 +231,6 @@
     time_point next_probe_{};
     duration probe_gap_{shortest_probe_gap};
     probe probe_{probe::none};
-    bool try_down_{false};
     double before_limit_{0};
     double before_throughput_{0};
     double baseline_{0};
--- a/src/jujubespan/policy/shed_level.cpp
+++ b/src/jujubespan/policy/shed_level.cpp
@@ -11,32 +11,33 @@
 namespace
 {
 
-// Admitted part of the completion rate, so that the queue drains.
-constexpr double admit_ratio = 0.98;
-constexpr duration overload_wait = std::chrono::milliseconds(20);
 // Keys that stay open at any load; their calls measure the recovery.
 constexpr shed_level lowest_level = keys_per_class / 16;
 constexpr double lowest_use = 0.25;
-// Weight that earlier intervals keep from one interval to the next.
-constexpr double memory = 0.8;
+// Weights of one interval in the smoothed figures.
+constexpr double recent_weight = 0.5;
+constexpr double density_weight = 0.1;
+constexpr double capacity_weight = 0.3;
 constexpr double utilisation_weight = 0.4;
-// The same for what waits behind a closed level.
-constexpr double long_memory = 0.99;
-// Least part admitted while a queue drains, and the time to drain it, in
-// seconds.
-constexpr double lowest_admit_ratio = 0.85;
-constexpr double drain_time = 0.5;
-// A wait below this part of that at the last cut is shrinking.
-constexpr double shrinking_ratio = 0.9;
-// Above this share of slots in use there is no room for more.
-constexpr double busy = 0.95;
-// Part of the idle capacity that one rise lets in.
-constexpr double raise_gain = 0.5;
-// Intervals until a change of the level shows in what arrives.
-constexpr unsigned effect_intervals = 3;
-// Keys that one rise crosses at the most, and its growth with each rise.
-constexpr shed_level first_step_keys = 64;
-constexpr shed_level step_keys_factor = 4;
+constexpr double wait_weight = 0.5;
+// Part that is remembered, an interval later, of what is no longer seen.
+constexpr double remember_busy = 0.99;
+constexpr double remember_idle = 0.85;
+// Below this share of slots in use there is room for more.
+constexpr double idle_utilisation = 0.7;
+// The share of slots in use that the correction aims at.
+constexpr double full_utilisation = 0.97;
+// Target rate over capacity: this much with no wait, less by the wait over
+// the range, never less than the lowest.
+constexpr double highest_target = 1.05;
+constexpr double lowest_target = 0.85;
+constexpr double wait_range = 0.4;  // seconds
+constexpr double free_wait = 0.005; // seconds
+// Change of the correction in one interval, and its bounds.
+constexpr double correction_step = 0.02;
+constexpr double lowest_correction = 1;
+constexpr double highest_correction = 1.5;
+constexpr double long_wait = 0.03; // seconds
 
 } // namespace
 
@@ -63,12 +64,13 @@
     offered_[std::min(key, open_level - 1)] += 1;
 }
 
-shed_level shed_controller::level_for(double budget) const
+shed_level shed_controller::level_for(std::span<const double> density,
+                                      double budget) const
 {
     double sum = 0;
     for (shed_level level = 0; level < open_level; ++level)
     {
-        sum += offered_[level];
+        sum += density[level];
         if (sum > budget)
         {
             return std::max(level, lowest_level);
@@ -77,82 +79,66 @@
     return open_level;
 }
 
-void shed_controller::remember_offered()
+void shed_controller::observe(const load_sample& sample)
 {
+    const double seen_capacity =
+        std::max<double>(sample.completed, sample.capacity);
+    capacity_ = capacity_ == 0
+                    ? seen_capacity
+                    : capacity_ + capacity_weight * (seen_capacity - capacity_);
+    utilisation_ += utilisation_weight * (sample.utilisation - utilisation_);
+    wait_ += wait_weight * (seconds(sample.oldest_wait) - wait_);
+    const double remember =
+        utilisation_ < idle_utilisation ? remember_idle : remember_busy;
     for (shed_level key = 0; key < open_level; ++key)
     {
-        const double before = remembered_[key] * long_memory;
-        remembered_[key] =
-            key < level_ ? offered_[key] : std::max(before, offered_[key]);
+        const double count = offered_[key];
+        recent_[key] += recent_weight * (count - recent_[key]);
+        const double smoothed =
+            density_[key] + density_weight * (count - density_[key]);
+        density_[key] = key < level_
+                            ? smoothed
+                            : std::max(smoothed, density_[key] * remember);
     }
+    offered_.fill(0);
 }
 
-shed_level shed_controller::raised_level() const
+void shed_controller::correct()
 {
-    const double room = (1 - utilisation_) * raise_gain * capacity_;
-    const shed_level last = std::min(level_ + step_keys_, open_level);
-    double sum = 0;
-    shed_level level = level_;
-    while (level < last && sum + remembered_[level] <= room)
+    if (level_ == open_level)
     {
-        sum += remembered_[level];
-        ++level;
+        correction_ = std::max(1.0, correction_ - correction_step);
     }
-    return std::max(level, level_ + 1);
-}
-
-bool shed_controller::must_cut(const load_sample& sample) const
-{
-    if (sample.dropped > 0)
+    else if (wait_ > long_wait)
     {
-        return true;
+        correction_ -= correction_step;
     }
-    // A queue that shrinks shows that the last cut suffices.
-    const bool shrinking =
-        seconds(sample.oldest_wait) < shrinking_ratio * seconds(wait_at_cut_);
-    return intervals_to_wait_ == 0 && !shrinking;
+    else if (utilisation_ < full_utilisation)
+    {
+        correction_ += correction_step * (full_utilisation - utilisation_) /
+                       (1 - idle_utilisation);
+    }
+    correction_ =
+        std::clamp(correction_, lowest_correction, highest_correction);
 }
 
-void shed_controller::cut(const load_sample& sample)
+double shed_controller::target() const
 {
-    const double excess =
-        seconds(sample.oldest_wait - overload_wait) / drain_time;
-    const double ratio =
-        std::clamp(1 - excess, lowest_admit_ratio, admit_ratio);
-    level_ = std::min(level_, level_for(capacity_ * ratio));
-    wait_at_cut_ = sample.oldest_wait;
-    step_keys_ = first_step_keys;
-    intervals_to_wait_ = effect_intervals;
+    const double over = std::max(0.0, wait_ - free_wait) / wait_range;
+    return capacity_ * correction_ *
+           std::clamp(highest_target - over, lowest_target, highest_target);
 }
 
 shed_level shed_controller::update(const load_sample& sample)
 {
-    capacity_ = capacity_ * memory +
-                std::max<double>(sample.completed, sample.capacity);
-    utilisation_ += utilisation_weight * (sample.utilisation - utilisation_);
-    const bool overloaded =
-        sample.dropped > 0 ||
-        (sample.oldest_wait > overload_wait && !sample.queue_was_empty);
-    remember_offered();
-    intervals_to_wait_ -= intervals_to_wait_ > 0 ? 1 : 0;
-    if (overloaded)
-    {
-        if (must_cut(sample))
-        {
-            cut(sample);
-        }
-    }
-    else if (level_ < open_level && intervals_to_wait_ == 0 &&
-             utilisation_ < busy)
-    {
-        level_ = raised_level();
-        step_keys_ *= step_keys_factor;
-        intervals_to_wait_ = effect_intervals;
-        wait_at_cut_ = {};
-    }
-    for (auto& count : offered_)
+    observe(sample);
+    correct();
+    const double budget = target();
+    level_ = level_for(density_, budget);
+    if (sample.dropped > 0)
     {
-        count *= memory;
+        // A surge shows in the recent figures first.
+        level_ = std::min(level_, level_for(recent_, budget));
     }
     return level_;
 }
@@ -160,13 +146,13 @@
 void shed_controller::reset()
 {
     offered_.fill(0);
-    remembered_.fill(0);
+    recent_.fill(0);
+    density_.fill(0);
     capacity_ = 0;
-    level_ = open_level;
     utilisation_ = 0;
-    intervals_to_wait_ = 0;
-    wait_at_cut_ = {};
-    step_keys_ = first_step_keys;
+    wait_ = 0;
+    correction_ = 1;
+    level_ = open_level;
 }
 
 } // namespace jujubespan
