Queues drain by cutting below critical; probes judge a call's own time

Cause: the initial surge left a backlog that drained at 15 % of the capacity while low keys starved to their deadlines; the queue bound followed completions, which are few before an overload; a probe of the limit was kept when a slowdown ended in the middle of it.

--- a/include/jujubespan/engine/admission_gate.hpp
+++ b/include/jujubespan/engine/admission_gate.hpp
@@ -91,7 +91,6 @@
     time_point integrated_to_{};
     time_point interval_start_{};
     load_sample sample_;
-    double rate_{0};
     double occupancy_{0};    // seconds that a call holds its slot
     double held_seconds_{0}; // by calls finished in the interval
     unsigned finished_{0};
--- a/src/jujubespan/engine/admission_gate.cpp
+++ b/src/jujubespan/engine/admission_gate.cpp
@@ -10,7 +10,6 @@
 {
 
 constexpr duration control_interval = std::chrono::milliseconds(50);
-constexpr double rate_weight = 0.3;
 constexpr double occupancy_weight = 0.3;
 
 } // namespace
@@ -146,9 +145,10 @@
         sample_.capacity = limit(now) / occupancy_ * seconds(elapsed);
     }
     controller_.update(sample_);
-    const double rate = sample_.completed / seconds(elapsed);
-    rate_ += rate_weight * (rate - rate_);
-    queue_.on_rate(std::max(rate, rate_), from_seconds(occupancy_));
+    if (occupancy_ > 0)
+    {
+        queue_.on_rate(limit(now) / occupancy_, from_seconds(occupancy_));
+    }
     sample_ = {};
     sample_.queue_was_empty = queue_.empty();
     return expired;
--- a/src/jujubespan/policy/concurrency_limit.cpp
+++ b/src/jujubespan/policy/concurrency_limit.cpp
@@ -11,15 +11,14 @@
 
 constexpr double step_up = 1.25;
 constexpr double step_down = 0.8;
-// Part of a step's proportional gain that throughput must show to keep it.
-constexpr double gain_to_keep_up = 0.5;
-constexpr double throughput_to_keep_down = 0.97;
 constexpr double inflated = 1.5;
+// A change beyond what the step explains, by this factor, has another cause.
+constexpr double other_cause_factor = 1.25;
 constexpr double baseline_drift = 1.005;
 constexpr double saturated_share = 0.8;
-constexpr unsigned window_calls = 200;
+constexpr unsigned window_calls = 100;
 constexpr duration shortest_window = std::chrono::milliseconds(100);
-constexpr duration longest_window = std::chrono::seconds(2);
+constexpr duration longest_window = std::chrono::seconds(1);
 constexpr duration shortest_probe_gap = std::chrono::milliseconds(500);
 constexpr duration longest_probe_gap = std::chrono::seconds(16);
 constexpr double refused_factor = 0.9;
@@ -119,10 +118,8 @@
     enum class probe
     {
         none,
-        settling_up,
-        settling_down,
-        up,
-        down
+        settling,
+        measuring
     };
 
     void set(double value) { limit_ = std::clamp(value, lowest_, highest_); }
@@ -139,9 +136,6 @@
     void close_window(time_point now)
     {
         const double self_time = std::max(self_time_sum_ / finished_, 1e-6);
-        // By Little's law; unlike a count of completions it does not vary
-        // with the moments in which slots were idle.
-        const double throughput = limit_ / self_time;
         const bool saturated =
             starts_ > 0 && saturated_starts_ >= saturated_share * starts_;
         open_window(now);
@@ -157,48 +151,52 @@
             abandon_probe();
             return;
         }
-        advance(throughput, self_time, now);
+        advance(self_time, now);
     }
 
-    void advance(double throughput, double self_time, time_point now)
+    void advance(double self_time, time_point now)
     {
         switch (probe_)
         {
         case probe::none:
             if (now >= next_probe_)
             {
-                begin_probe(throughput, self_time);
+                begin_probe(self_time);
             }
             return;
-        case probe::settling_up:
-            probe_ = probe::up;
+        case probe::settling:
+            probe_ = probe::measuring;
             return;
-        case probe::settling_down:
-            probe_ = probe::down;
-            return;
-        case probe::up:
-            judge(throughput >= before_throughput_ *
-                                    (1 + gain_to_keep_up * (step_up - 1)),
-                  now);
-            return;
-        case probe::down:
-            judge(throughput >= before_throughput_ * throughput_to_keep_down,
-                  now);
+        case probe::measuring:
+            judge(self_time, now);
             return;
         }
     }
 
-    void begin_probe(double throughput, double self_time)
+    void begin_probe(double self_time)
     {
         before_limit_ = limit_;
-        before_throughput_ = throughput;
+        before_self_time_ = self_time;
         const bool down = self_time > baseline_ * inflated;
-        probe_ = down ? probe::settling_down : probe::settling_up;
-        set(limit_ * (down ? step_down : step_up));
+        set(down ? std::min(limit_ - 1, std::floor(limit_ * step_down))
+                 : std::max(limit_ + 1, std::ceil(limit_ * step_up)));
+        probe_ = probe::settling;
     }
 
-    void judge(bool keep, time_point now)
+    // A call's own time follows the limit where the backend server queues,
+    // and does not where it works on all calls at once. By Little's law this
+    // tells whether throughput changed, and unlike a count of completions it
+    // does not vary with the moments in which slots were idle.
+    void judge(double self_time, time_point now)
     {
+        const double step = limit_ / before_limit_;
+        const double change = self_time / before_self_time_;
+        const bool queues =
+            step > 1 ? change > (1 + step) / 2 : change < (1 + step) / 2;
+        const bool other_cause =
+            change < std::min(step, 1.0) / other_cause_factor ||
+            change > std::max(step, 1.0) * other_cause_factor;
+        const bool keep = !other_cause && queues == (step < 1);
         probe_ = probe::none;
         if (keep)
         {
@@ -232,7 +230,7 @@
     duration probe_gap_{shortest_probe_gap};
     probe probe_{probe::none};
     double before_limit_{0};
-    double before_throughput_{0};
+    double before_self_time_{0};
     double baseline_{0};
     unsigned finished_{0};
     unsigned starts_{0};
--- a/src/jujubespan/policy/shed_level.cpp
+++ b/src/jujubespan/policy/shed_level.cpp
@@ -30,7 +30,9 @@
 // Target rate over capacity: this much with no wait, less by the wait over
 // the range, never less than the lowest.
 constexpr double highest_target = 1.05;
-constexpr double lowest_target = 0.85;
+constexpr double lowest_target = 0.6;
+// Critical calls are cut only when they exceed this part of the capacity.
+constexpr double critical_target = 0.97;
 constexpr double wait_range = 0.4;  // seconds
 constexpr double free_wait = 0.005; // seconds
 // Change of the correction in one interval, and its bounds.
@@ -134,11 +136,15 @@
     observe(sample);
     correct();
     const double budget = target();
-    level_ = level_for(density_, budget);
+    // A queue drains by cutting the classes below critical alone.
+    const shed_level critical = std::min(
+        keys_per_class, level_for(density_, critical_target * capacity_));
+    level_ = std::max(level_for(density_, budget), critical);
     if (sample.dropped > 0)
     {
         // A surge shows in the recent figures first.
-        level_ = std::min(level_, level_for(recent_, budget));
+        level_ =
+            std::min(level_, std::max(level_for(recent_, budget), critical));
     }
     return level_;
 }
