--- a/apps/jujubespan/load.cpp
+++ b/apps/jujubespan/load.cpp
@@ -100,8 +100,8 @@
             {"unknown", report.unknown},
             {"failed", report.failed},
             {"lost", report.lost},
-            {"p50_ms", report.latency.quantile(0.5) * 1e3},
-            {"p99_ms", report.latency.quantile(0.99) * 1e3},
+            {"p50_ms", quantile(report.latencies, 0.5)},
+            {"p99_ms", quantile(report.latencies, 0.99)},
             {"completed_by_slice", report.completed_by_slice}};
 }
 
@@ -119,8 +119,8 @@
                    plan.kinds[i].name, report.sent, report.attempts,
                    report.completed, report.late, report.not_run,
                    report.unknown, report.failed, report.lost,
-                   report.latency.quantile(0.5) * 1e3,
-                   report.latency.quantile(0.99) * 1e3);
+                   quantile(report.latencies, 0.5),
+                   quantile(report.latencies, 0.99));
     }
 }
 
--- a/apps/jujubespan/load_generator.cpp
+++ b/apps/jujubespan/load_generator.cpp
@@ -6,6 +6,8 @@
 
 #include <QTimer>
 
+#include <algorithm>
+
 namespace jujubespan::apps
 {
 
@@ -24,6 +26,20 @@
 
 } // namespace
 
+double quantile(std::vector<double> values, double q)
+{
+    if (values.empty())
+    {
+        return 0;
+    }
+    const auto index = std::min(
+        static_cast<std::size_t>(q * static_cast<double>(values.size())),
+        values.size() - 1);
+    const auto at = values.begin() + static_cast<std::ptrdiff_t>(index);
+    std::nth_element(values.begin(), at, values.end());
+    return *at;
+}
+
 load_generator::load_generator(load_plan plan, std::function<void()> on_done)
     : plan_(std::move(plan)), on_done_(std::move(on_done)), random_(plan_.seed),
       next_(plan_.kinds.size()), reports_(plan_.kinds.size())
@@ -194,7 +210,7 @@
         return;
     }
     ++report.completed;
-    report.latency.add(latency);
+    report.latencies.push_back(seconds(latency) * 1e3);
     const auto index = static_cast<std::size_t>((now - start_) / slice);
     if (report.completed_by_slice.size() <= index)
     {
--- a/apps/jujubespan/load_generator.hpp
+++ b/apps/jujubespan/load_generator.hpp
@@ -2,7 +2,6 @@
 #define JUJUBESPAN_APPS_LOAD_GENERATOR_HPP
 
 #include "jujubespan/http/client.hpp"
-#include "jujubespan/metrics/latency_histogram.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -55,10 +54,13 @@
     std::uint64_t unknown{0};
     std::uint64_t failed{0}; ///< Answered with an error status.
     std::uint64_t lost{0};   ///< No answer at all.
-    metrics::latency_histogram latency;
+    std::vector<double> latencies; ///< Milliseconds, of completed requests.
     std::vector<std::uint64_t> completed_by_slice; ///< Slices of 100 ms.
 };
 
+/// @brief Quantile of unsorted values; zero when there are none.
+double quantile(std::vector<double> values, double q);
+
 /// @brief Sends requests at times that do not depend on the answers.
 class load_generator : private http::response_handler
 {
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -26,10 +26,11 @@
     """Processes of one deployment; a context manager."""
 
     def __init__(self, services, contracts, script, base=24000,
-                 domains="d-1,d-2", extra="", true_slots=None):
+                 domains="d-1,d-2", extra="", true_slots=None,
+                 lag_ms=1000):
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="jujubespan-"))
         self.base = base
-        env = dict(os.environ, EXTRA='"list_lag_ms": 1000,' + extra)
+        env = dict(os.environ, EXTRA=f'"list_lag_ms": {lag_ms},' + extra)
         subprocess.run([ROOT / "examples" / "make_settings.sh",
                         self.dir / "nodes", str(base), domains, *services],
                        check=True, env=env)
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -105,6 +105,7 @@
     {
         sent_ = true;
         socket_->write(bytes_);
+        socket_->flush(); // Not with the next turn of the event loop.
         bytes_.clear();
     }
 
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -86,6 +86,7 @@
         exchange_ = 0;
         active_ = boot_clock::now();
         socket_->write(serialize(response, keep, to_head_));
+        socket_->flush(); // Not with the next turn of the event loop.
         if (!keep)
         {
             close_after_write();
