--- a/include/jujubespan/engine/call.hpp
+++ b/include/jujubespan/engine/call.hpp
@@ -40,6 +40,10 @@
     bool forwarded{false}; ///< Sent on by a node of the same service.
 };
 
+/// @brief Identifies a call by service, method, target and body; a call that
+/// comes up again below itself is a loop.
+std::uint32_t call_hash(std::string_view service, const http_request& request);
+
 /// @brief Where an answer goes.
 class reply_port
 {
--- a/include/jujubespan/engine/call_engine.hpp
+++ b/include/jujubespan/engine/call_engine.hpp
@@ -189,6 +189,9 @@
     ticket_step check_ticket(inbound_call& call, time_point now);
     ticket_step judge_own_ticket(inbound_call& call, const ticket& presented,
                                  time_point now);
+    std::optional<answer> check_peer_call(const inbound_call& call,
+                                          std::string_view service,
+                                          time_point now) const;
     void enter(inbound_call call, time_point now);
     void run(std::uint64_t id, time_point now);
     void pump(time_point now);
--- a/include/jujubespan/policy/rate_share.hpp
+++ b/include/jujubespan/policy/rate_share.hpp
@@ -73,7 +73,7 @@
 
 private:
     duration burst_;
-    double tokens_{1};
+    double tokens_{0};
     time_point last_{};
 };
 
--- a/src/jujubespan/config/object_reader.cpp
+++ b/src/jujubespan/config/object_reader.cpp
@@ -206,13 +206,10 @@
     return data == nullptr ? std::span<const json_value>() : *data;
 }
 
-std::span<const json_member>
-object_reader::object(std::string_view key)
+std::span<const json_member> object_reader::object(std::string_view key)
 {
     const auto* data = typed<json_object>(find(key), key, "an object");
-    return data == nullptr
-               ? std::span<const json_member>()
-               : *data;
+    return data == nullptr ? std::span<const json_member>() : *data;
 }
 
 void object_reader::finish()
--- a/src/jujubespan/engine/call_engine_inbound.cpp
+++ b/src/jujubespan/engine/call_engine_inbound.cpp
@@ -53,6 +53,13 @@
     call.arrived = now;
     if (auto wrong = check_root(request, call, now))
     {
+        const bool keyed =
+            !find_header(request.headers, headers::idempotency_key).empty();
+        if (keyed && wrong->result == outcome::not_run)
+        {
+            // Only the owner of a ticket knows that its request has not run.
+            wrong->result = outcome::unknown;
+        }
         send(call, *std::move(wrong), now);
         return;
     }
@@ -262,6 +269,29 @@
     return std::nullopt;
 }
 
+std::optional<answer> call_engine::check_peer_call(const inbound_call& call,
+                                                   std::string_view service,
+                                                   time_point now) const
+{
+    if (service != options_.service)
+    {
+        return refuse(reason::unknown_method, true);
+    }
+    if (call.context.deadline <= now)
+    {
+        return refuse(reason::deadline);
+    }
+    if (inbound_.size() >= options_.limits.max_in_flight)
+    {
+        return refuse(reason::in_flight_bound, true);
+    }
+    if (leaving_)
+    {
+        return refuse(reason::leaving, true);
+    }
+    return std::nullopt;
+}
+
 void call_engine::on_peer_call(reply_to origin, peer_call incoming,
                                time_point now)
 {
@@ -276,6 +306,7 @@
     const auto refuse_call = [&](answer value)
     {
         value.credits_unspent = call.context.credits;
+        settle_ticket(call, value);
         send(call, std::move(value), now);
     };
     call.terms = table_->find(call.context.customer);
@@ -284,21 +315,8 @@
                                       path_of(call.request.target))
                    : nullptr;
     call.method = rule != nullptr ? rule->id() : std::string();
-    if (incoming.service != options_.service)
-    {
-        refuse_call(refuse(reason::unknown_method, true));
-        return;
-    }
-    if (call.context.deadline <= now)
-    {
-        refuse_call(refuse(reason::deadline));
-        return;
-    }
-    if (inbound_.size() >= options_.limits.max_in_flight)
-    {
-        refuse_call(refuse(reason::in_flight_bound, true));
-        return;
-    }
+    // The ticket first: what follows may say "not run" only of a request that
+    // the ledger says has not run.
     const auto presented = parse_ticket(call.context.ticket);
     if (call.forwarded && presented)
     {
@@ -313,11 +331,9 @@
             return;
         }
     }
-    if (leaving_)
+    if (auto refusal = check_peer_call(call, incoming.service, now))
     {
-        answer refusal = refuse(reason::leaving, true);
-        settle_ticket(call, refusal);
-        refuse_call(std::move(refusal));
+        refuse_call(*std::move(refusal));
         return;
     }
     enter(std::move(call), now);
--- a/src/jujubespan/engine/call_engine_outbound.cpp
+++ b/src/jujubespan/engine/call_engine_outbound.cpp
@@ -23,13 +23,6 @@
     return std::string(host.substr(0, host.find(':')));
 }
 
-std::uint32_t call_hash(std::string_view service, const http_request& request)
-{
-    const auto seed = stable_hash(request.verb, stable_hash(service));
-    const auto body = stable_hash(request.body, seed);
-    return static_cast<std::uint32_t>(stable_hash(request.target, body));
-}
-
 bool is_overload(reason why)
 {
     return why == reason::queue_full || why == reason::overload ||
@@ -343,6 +336,11 @@
     }
     budget_of(call).give_back(value.credits_unspent, call.lent);
     const auto health = health_of(value);
+    if (call.owner && value.reason == reason::no_upstream)
+    {
+        // Unsent; only its owner knows whether a ticketed request has run.
+        value = unknown_outcome(reason::ticket_owner_gone);
+    }
     end_attempt(id, std::move(value), health, now);
 }
 
--- /dev/null
+++ b/src/jujubespan/engine/session_test.cpp
@@ -0,0 +1,348 @@
+// Golden files of whole sessions: requests in, calls made, answers out.
+//
+// JUJUBESPAN_RENEW_GOLDEN=1 writes the files anew from what happened.
+
+#include "jujubespan/engine/testing.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace jujubespan::engine
+{
+namespace
+{
+
+using namespace testing;
+using namespace std::chrono_literals;
+
+constexpr auto contract_text = R"({
+  "customer": "acme", "requests_per_second": 1000, "retry_credits": 2,
+  "methods": [
+    {"service": "shop", "method": "GET", "path": "/faces/*",
+     "class": "sheddable", "idempotent": true, "deadline_ms": 1000},
+    {"service": "shop", "method": "POST", "path": "/purchases",
+     "class": "critical", "idempotent": false, "deadline_ms": 3000},
+    {"service": "stock", "method": "GET", "path": "/items/*",
+     "class": "normal", "idempotent": true, "deadline_ms": 800},
+    {"service": "stock", "method": "POST", "path": "/orders",
+     "class": "critical", "idempotent": false, "entry": false,
+     "deadline_ms": 2000}
+  ]})";
+
+// One node of service shop, with two upstreams of service stock.
+class session : public ::testing::Test
+{
+protected:
+    session()
+        : backend(lines), peers(lines), callers("caller", lines),
+          outbound("outbound", lines), from_peer("peer-reply", lines),
+          now(time_point(1000s)),
+          node(make_settings("shop-1", "shop"), 1, 1, backend, peers, now)
+    {
+        const std::vector<instance> list{make_instance("shop-1", "shop"),
+                                         make_instance("stock-1", "stock"),
+                                         make_instance("stock-2", "stock")};
+        node.apply_contracts(make_table(contract_text));
+        node.apply_instances(list, now);
+        advance(1500ms); // A newcomer takes no share of a rate at once.
+        lines.clear();
+    }
+
+    void advance(duration length)
+    {
+        const auto end = now + length;
+        while (now < end)
+        {
+            now += 10ms;
+            node.customers().on_contact(now);
+            node.on_tick(now);
+        }
+        lines.push_back(fmt::format("{} ms pass", milliseconds(length)));
+    }
+
+    void step(const std::string& text) { lines.push_back(text); }
+
+    void caller_sends(http_request request)
+    {
+        step(fmt::format("caller {} -> {} {}", next_caller, request.verb,
+                         request.target));
+        request.headers.push_back(
+            {"X-Request-Id", fmt::format("r{}", next_caller)});
+        node.on_caller_request({&callers, next_caller++}, std::move(request),
+                               now);
+    }
+
+    void backend_calls(const std::string& verb, const std::string& target,
+                       const std::string& key = {})
+    {
+        step(fmt::format("outbound {} -> {} {}", next_outbound, verb, target));
+        http_request request{verb, target, {{"Host", "stock"}}, "sub"};
+        request.headers.push_back({"Jujubespan-Token", backend.tokens.back()});
+        if (!key.empty())
+        {
+            request.headers.push_back({"Idempotency-Key", key});
+        }
+        node.on_outbound_request({&outbound, next_outbound++},
+                                 std::move(request), now);
+    }
+
+    void backend_answers(std::size_t index, unsigned status,
+                         const std::string& body)
+    {
+        step(fmt::format("backend answers {} \"{}\"", status, body));
+        node.on_backend_end(backend.calls[index], backend_end::answered,
+                            {status, {}, body}, now);
+    }
+
+    void backend_ends(std::size_t index, backend_end end,
+                      const std::string& text)
+    {
+        step("backend " + text);
+        node.on_backend_end(backend.calls[index], end, {}, now);
+    }
+
+    void peer_replies(std::size_t index, answer value, const std::string& text)
+    {
+        const auto sent = peers.sent[index];
+        step(fmt::format("peer {} replies {}", sent.peer, text));
+        node.on_peer_reply(sent.peer, sent.id, std::move(value), now);
+    }
+
+    static answer answered(const std::string& body)
+    {
+        answer value;
+        value.response = {200, {}, body};
+        return value;
+    }
+
+    void compare(const std::string& name)
+    {
+        const std::string path = std::string(JUJUBESPAN_SOURCE_DIR) +
+                                 "/src/jujubespan/engine/golden/" + name +
+                                 ".txt";
+        std::string actual;
+        for (const auto& line : lines)
+        {
+            actual += line + "\n";
+        }
+        if (std::getenv("JUJUBESPAN_RENEW_GOLDEN") != nullptr)
+        {
+            std::ofstream(path) << actual;
+        }
+        std::ifstream stream(path);
+        ASSERT_TRUE(stream) << path;
+        std::ostringstream expected;
+        expected << stream.rdbuf();
+        EXPECT_EQ(expected.str(), actual);
+    }
+
+    std::vector<std::string> lines;
+    recording_backend backend;
+    recording_peers peers;
+    recording_replies callers;
+    recording_replies outbound;
+    recording_replies from_peer;
+    time_point now;
+    call_engine node;
+    std::uint64_t next_caller{1};
+    std::uint64_t next_outbound{1};
+};
+
+TEST_F(session, answered_through_two_services)
+{
+    caller_sends(make_request("GET", "/faces/7?size=2"));
+    backend_calls("GET", "/items/7");
+    advance(20ms);
+    peer_replies(0, answered("item"), "200");
+    backend_answers(0, 200, "face");
+    compare("answered_through_two_services");
+}
+
+TEST_F(session, retry_after_explicit_refusal)
+{
+    caller_sends(make_request("POST", "/purchases", "p"));
+    backend_calls("POST", "/orders", "1");
+    peer_replies(0, refuse(reason::leaving, true), "not run, leaving");
+    peer_replies(1, answered("order"), "200");
+    backend_calls("POST", "/orders", "1");
+    backend_answers(0, 200, "bought");
+    compare("retry_after_explicit_refusal");
+}
+
+TEST_F(session, no_second_attempt_of_a_lost_order)
+{
+    caller_sends(make_request("POST", "/purchases", "p"));
+    backend_calls("POST", "/orders");
+    step("connection to the peer is lost");
+    node.on_peer_lost(peers.sent[0].peer, now);
+    peer_replies(0, answered("late"), "200, late");
+    backend_answers(0, 500, "no order");
+    compare("no_second_attempt_of_a_lost_order");
+}
+
+TEST_F(session, lost_lookup_is_tried_elsewhere)
+{
+    caller_sends(make_request("GET", "/faces/7"));
+    backend_calls("GET", "/items/7");
+    step("connection to the peer is lost");
+    node.on_peer_lost(peers.sent[0].peer, now);
+    peer_replies(0, answered("first"), "200, late");
+    peer_replies(1, answered("second"), "200");
+    backend_answers(0, 200, "face");
+    compare("lost_lookup_is_tried_elsewhere");
+}
+
+TEST_F(session, ticket_joins_stores_and_tells_mismatch)
+{
+    caller_sends(make_request("GET", "/faces/7"));
+    backend_answers(0, 200, "face");
+    const std::string ticket = callers.answers.back().next_ticket;
+    auto request = make_request("POST", "/purchases", "p");
+    request.headers.push_back({"Idempotency-Key", ticket});
+    caller_sends(request);
+    caller_sends(request);
+    backend_answers(1, 200, "bought");
+    caller_sends(request);
+    auto other = request;
+    other.body = "q";
+    caller_sends(other);
+    auto forged = request;
+    forged.headers.back().value.back() ^= 1;
+    caller_sends(forged);
+    auto gone = request;
+    gone.headers.back().value = "shop-1~99~1~00";
+    caller_sends(gone);
+    auto elsewhere = request;
+    elsewhere.headers.back().value = "shop-9~1~1~00";
+    caller_sends(elsewhere);
+    compare("ticket_joins_stores_and_tells_mismatch");
+}
+
+TEST_F(session, deadline_cancels_everything_below)
+{
+    caller_sends(make_request("GET", "/faces/7"));
+    backend_calls("GET", "/items/7");
+    advance(1100ms);
+    peer_replies(0, answered("late"), "200, late");
+    backend_answers(0, 200, "late");
+    compare("deadline_cancels_everything_below");
+}
+
+TEST_F(session, caller_gone_cancels_reads_but_not_purchases)
+{
+    caller_sends(make_request("GET", "/faces/7"));
+    backend_calls("GET", "/items/7");
+    step("caller 1 is gone");
+    node.on_origin_gone({&callers, 1}, now);
+    caller_sends(make_request("POST", "/purchases", "p"));
+    step("caller 2 is gone");
+    node.on_origin_gone({&callers, 2}, now);
+    backend_answers(1, 200, "bought");
+    step(node.idle() ? "idle" : "busy");
+    compare("caller_gone_cancels_reads_but_not_purchases");
+}
+
+TEST_F(session, backend_server_that_closes_after_reading)
+{
+    caller_sends(make_request("POST", "/purchases", "p"));
+    backend_ends(0, backend_end::failed, "closes after reading");
+    caller_sends(make_request("POST", "/purchases", "p2"));
+    backend_ends(1, backend_end::unreachable, "cannot be reached");
+    compare("backend_server_that_closes_after_reading");
+}
+
+TEST_F(session, wrong_requests)
+{
+    caller_sends({"GET", "/faces/7", {{"Jujubespan-Customer", "who"}}, ""});
+    caller_sends({"GET", "/faces/7", {}, ""});
+    caller_sends(make_request("GET", "/nothing"));
+    caller_sends(make_request("DELETE", "/faces/7"));
+    auto keyed = make_request("POST", "/purchases", "p");
+    keyed.headers.push_back({"Idempotency-Key", "a-uuid"});
+    caller_sends(keyed);
+    auto malformed = make_request("GET", "/faces/7");
+    malformed.headers.push_back({"Jujubespan-Deadline-Ms", "soon"});
+    caller_sends(malformed);
+    caller_sends(make_request("GET", "/faces/7"));
+    backend_calls("POST", "/orders");
+    backend_calls("GET", "/unknown");
+    compare("wrong_requests");
+}
+
+TEST_F(session, leaving_forwards_once_and_refuses_peers)
+{
+    caller_sends(make_request("POST", "/purchases", "in flight"));
+    node.begin_drain();
+    step("the node is leaving");
+    caller_sends(make_request("GET", "/faces/7"));
+    peer_call call;
+    call.service = "shop";
+    call.request = make_request("GET", "/faces/7");
+    call.context.customer = "acme";
+    call.context.deadline = now + 1s;
+    call.forwarded = true;
+    step("peer -> GET /faces/7, forwarded");
+    node.on_peer_call({&from_peer, 1}, call, now);
+    backend_answers(0, 200, "bought");
+    step(node.idle() ? "idle" : "busy");
+    compare("leaving_forwards_once_and_refuses_peers");
+}
+
+TEST_F(session, loops_and_depth)
+{
+    peer_call call;
+    call.service = "shop";
+    call.request = make_request("GET", "/faces/7");
+    call.context.customer = "acme";
+    call.context.idempotent = true;
+    call.context.deadline = now + 1s;
+    call.context.depth = 25;
+    step("peer -> GET /faces/7 at depth 25");
+    node.on_peer_call({&from_peer, 1}, call, now);
+    backend_calls("GET", "/items/7");
+    call.context.depth = 1;
+    step("peer -> GET /faces/7");
+    node.on_peer_call({&from_peer, 2}, call, now);
+    backend_calls("GET", "/items/7");
+    // The same call again below itself, as a service that calls itself makes.
+    call.context.path = {call_hash("stock", {"GET", "/items/7", {}, "sub"})};
+    step("peer -> GET /faces/7, below a call of GET /items/7");
+    node.on_peer_call({&from_peer, 3}, call, now);
+    backend_calls("GET", "/items/7");
+    compare("loops_and_depth");
+}
+
+TEST_F(session, pause_expires_what_was_learned)
+{
+    caller_sends(make_request("GET", "/faces/7"));
+    step("the process is stopped for 5 s");
+    now += 5s;
+    caller_sends(make_request("GET", "/faces/8"));
+    node.customers().on_contact(now);
+    advance(1500ms);
+    caller_sends(make_request("GET", "/faces/9"));
+    EXPECT_EQ(node.metrics().pauses, 1U);
+    compare("pause_expires_what_was_learned");
+}
+
+TEST_F(session, stray_headers_of_the_backend_server_are_removed)
+{
+    caller_sends(make_request("GET", "/faces/7"));
+    node.on_backend_end(backend.calls[0], backend_end::answered,
+                        {503,
+                         {{"jujubespan-outcome", "not-run"},
+                          {"Transfer-Encoding", "chunked"},
+                          {"X-Kept", "1"}},
+                         "busy"},
+                        now);
+    const auto response = to_http(callers.answers.back(), "r1");
+    EXPECT_EQ(find_header(response.headers, headers::outcome), "answered");
+    EXPECT_EQ(find_header(response.headers, "X-Kept"), "1");
+    EXPECT_EQ(find_header(response.headers, "Transfer-Encoding"), "");
+}
+
+} // namespace
+} // namespace jujubespan::engine
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -33,11 +33,11 @@
                          [this] { on_readable(); });
         // Queued: an error may be raised while the request is being started.
         QObject::connect(
-            socket_, &QTcpSocket::errorOccurred, &guard_,
-            [this] { on_lost(); }, Qt::QueuedConnection);
+            socket_, &QTcpSocket::errorOccurred, &guard_, [this] { on_lost(); },
+            Qt::QueuedConnection);
         QObject::connect(
-            socket_, &QTcpSocket::disconnected, &guard_,
-            [this] { on_lost(); }, Qt::QueuedConnection);
+            socket_, &QTcpSocket::disconnected, &guard_, [this] { on_lost(); },
+            Qt::QueuedConnection);
     }
 
     client_connection(const client_connection&) = delete;
--- a/src/jujubespan/http/descriptor_limit.cpp
+++ b/src/jujubespan/http/descriptor_limit.cpp
@@ -2,7 +2,8 @@
 
 #include <sys/resource.h>
 
-namespace jujubespan::http {
+namespace jujubespan::http
+{
 
 void raise_descriptor_limit()
 {
--- a/src/jujubespan/policy/rate_share.cpp
+++ b/src/jujubespan/policy/rate_share.cpp
@@ -85,12 +85,17 @@
 
 bool token_bucket::take(double rate, time_point now)
 {
-    const double saved = std::max(1.0, rate * seconds(burst_));
-    if (last_ != time_point{})
+    if (rate <= 0)
     {
-        tokens_ += rate * seconds(now - last_);
+        tokens_ = 0;
+        last_ = now;
+        return false;
     }
-    tokens_ = std::min(tokens_, saved);
+    const double saved = std::max(1.0, rate * seconds(burst_));
+    // A new bucket is full: its node waited for its share at least as long.
+    tokens_ = last_ == time_point{}
+                  ? saved
+                  : std::min(saved, tokens_ + rate * seconds(now - last_));
     last_ = now;
     if (tokens_ < 1)
     {
