--- a/apps/jujubespan/load_generator.hpp
+++ b/apps/jujubespan/load_generator.hpp
@@ -52,8 +52,8 @@
     std::uint64_t late{0};      ///< Whole answers after the deadline.
     std::uint64_t not_run{0};
     std::uint64_t unknown{0};
-    std::uint64_t failed{0}; ///< Answered with an error status.
-    std::uint64_t lost{0};   ///< No answer at all.
+    std::uint64_t failed{0};       ///< Answered with an error status.
+    std::uint64_t lost{0};         ///< No answer at all.
     std::vector<double> latencies; ///< Milliseconds, of completed requests.
     std::vector<std::uint64_t> completed_by_slice; ///< Slices of 100 ms.
 };
--- a/examples/standin/backend_standin.cpp
+++ b/examples/standin/backend_standin.cpp
@@ -3,8 +3,8 @@
 #include "standin/work_server.hpp"
 
 #include "jujubespan/config/settings.hpp"
-#include "jujubespan/http/descriptor_limit.hpp"
 #include "jujubespan/config/status_text.hpp"
+#include "jujubespan/http/descriptor_limit.hpp"
 
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
--- a/examples/standin/platform_standin.cpp
+++ b/examples/standin/platform_standin.cpp
@@ -4,8 +4,8 @@
 
 #include "jujubespan/config/contract.hpp"
 #include "jujubespan/config/settings.hpp"
-#include "jujubespan/http/descriptor_limit.hpp"
 #include "jujubespan/config/status_text.hpp"
+#include "jujubespan/http/descriptor_limit.hpp"
 #include "jujubespan/platform/codec.hpp"
 
 #include <fmt/format.h>
