--- /dev/null
+++ b/src/jujubespan/http/server_test.cpp
@@ -0,0 +1,340 @@
+// The HTTP faces on real sockets: whole messages, bounds and order.
+
+#include "jujubespan/http/client.hpp"
+#include "jujubespan/http/server.hpp"
+
+#include <gtest/gtest.h>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <functional>
+#include <map>
+
+namespace jujubespan::http
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr int patience = 5000; // milliseconds
+
+QCoreApplication& app()
+{
+    static int argc = 1;
+    static char name[] = "test";
+    static char* argv[] = {name, nullptr};
+    static QCoreApplication instance(argc, argv);
+    return instance;
+}
+
+// Runs the event loop until a condition holds.
+bool wait_for(const std::function<bool()>& done)
+{
+    app();
+    QElapsedTimer timer;
+    timer.start();
+    while (!done() && timer.elapsed() < patience)
+    {
+        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+    }
+    return done();
+}
+
+config::endpoint free_endpoint()
+{
+    app();
+    QTcpServer probe;
+    probe.listen(QHostAddress::LocalHost);
+    return {"127.0.0.1", probe.serverPort()};
+}
+
+class recorder final : public request_handler, public response_handler
+{
+public:
+    void on_request(std::uint64_t exchange, http_request request) override
+    {
+        requests[exchange] = std::move(request);
+    }
+    void on_gone(std::uint64_t exchange) override { gone.push_back(exchange); }
+    void on_end(std::uint64_t exchange, client_end end,
+                http_response response) override
+    {
+        ends[exchange] = {end, std::move(response)};
+    }
+
+    std::map<std::uint64_t, http_request> requests;
+    std::vector<std::uint64_t> gone;
+    std::map<std::uint64_t, std::pair<client_end, http_response>> ends;
+};
+
+class http_server : public ::testing::Test
+{
+protected:
+    http_server()
+    {
+        limits.max_header_bytes = 2048;
+        limits.max_body_bytes = 4096;
+        limits.max_connections = 3;
+        limits.receive_timeout = 300ms;
+        target = std::make_unique<server>(limits, handler);
+        EXPECT_TRUE(target->listen(address).ok());
+    }
+
+    std::unique_ptr<QTcpSocket> connect(const QByteArray& bytes)
+    {
+        auto socket = std::make_unique<QTcpSocket>();
+        socket->connectToHost("127.0.0.1", address.port);
+        socket->write(bytes);
+        return socket;
+    }
+
+    static QByteArray read_until_closed(QTcpSocket& socket)
+    {
+        wait_for(
+            [&]
+            { return socket.state() == QAbstractSocket::UnconnectedState; });
+        return socket.readAll();
+    }
+
+    config::bounds limits;
+    recorder handler;
+    config::endpoint address{free_endpoint()};
+    std::unique_ptr<server> target;
+};
+
+TEST_F(http_server, pipelined_requests_are_answered_in_order)
+{
+    auto socket = connect("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(wait_for([&] { return handler.requests.size() == 1; }));
+    EXPECT_EQ(handler.requests[1].target, "/1");
+    target->respond(1, {200, {}, "first"});
+    ASSERT_TRUE(wait_for([&] { return handler.requests.size() == 2; }));
+    target->respond(2, {200, {}, "second"});
+    QByteArray received;
+    ASSERT_TRUE(wait_for(
+        [&]
+        {
+            received += socket->readAll();
+            return received.contains("second");
+        }));
+    EXPECT_LT(received.indexOf("first"), received.indexOf("second"));
+}
+
+TEST_F(http_server, caller_gone_before_the_answer)
+{
+    auto socket = connect("GET /1 HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(wait_for([&] { return handler.requests.size() == 1; }));
+    socket->abort();
+    ASSERT_TRUE(wait_for([&] { return handler.gone.size() == 1; }));
+    target->respond(1, {200, {}, "late"});
+    EXPECT_EQ(target->connections(), 0U);
+}
+
+TEST_F(http_server, half_a_request_then_silence)
+{
+    auto socket = connect("POST /1 HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+    const auto answer = read_until_closed(*socket);
+    EXPECT_TRUE(answer.startsWith("HTTP/1.1 408")) << answer.toStdString();
+    EXPECT_TRUE(handler.requests.empty());
+}
+
+TEST_F(http_server, bounds_are_named)
+{
+    const std::pair<QByteArray, const char*> cases[] = {
+        {"GET / HTTP/1.1\r\nX: " + QByteArray(3000, 'x') + "\r\n\r\n", "431"},
+        {"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", "413"},
+        {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+         "400"},
+        {"POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n",
+         "400"},
+        {"nonsense\r\n\r\n", "400"}};
+    for (const auto& [bytes, status] : cases)
+    {
+        auto socket = connect(bytes);
+        const auto answer = read_until_closed(*socket);
+        EXPECT_TRUE(answer.startsWith(QByteArray("HTTP/1.1 ") + status))
+            << answer.toStdString();
+        EXPECT_TRUE(answer.contains("\"reason\"")) << answer.toStdString();
+    }
+    EXPECT_TRUE(handler.requests.empty());
+}
+
+TEST_F(http_server, connections_are_bounded)
+{
+    std::vector<std::unique_ptr<QTcpSocket>> held;
+    for (int i = 0; i < 3; ++i)
+    {
+        held.push_back(connect("GET /1 HTTP/1.1\r\n\r\n"));
+    }
+    ASSERT_TRUE(wait_for([&] { return handler.requests.size() == 3; }));
+    auto extra = connect("GET /1 HTTP/1.1\r\n\r\n");
+    const auto answer = read_until_closed(*extra);
+    EXPECT_TRUE(answer.contains("max-connections")) << answer.toStdString();
+}
+
+TEST_F(http_server, a_body_in_pieces_and_100_continue)
+{
+    auto socket = connect("POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+                          "Content-Length: 4\r\n\r\n");
+    ASSERT_TRUE(wait_for([&] { return socket->bytesAvailable() > 0; }));
+    EXPECT_TRUE(socket->readAll().contains("100 Continue"));
+    socket->write("ab");
+    socket->flush();
+    QCoreApplication::processEvents();
+    socket->write("cd");
+    ASSERT_TRUE(wait_for([&] { return handler.requests.size() == 1; }));
+    EXPECT_EQ(handler.requests[1].body, "abcd");
+}
+
+TEST_F(http_server, drain_closes_idle_connections_only)
+{
+    auto idle = connect("");
+    auto busy = connect("GET /1 HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(wait_for(
+        [&] {
+            return handler.requests.size() == 1 && target->connections() == 2;
+        }));
+    target->begin_drain();
+    read_until_closed(*idle);
+    target->respond(1, {200, {}, "whole"});
+    const auto answer = read_until_closed(*busy);
+    EXPECT_TRUE(answer.contains("whole"));
+    EXPECT_TRUE(answer.contains("Connection: close"));
+}
+
+// A backend server that does what a test tells it.
+class scripted_backend
+{
+public:
+    explicit scripted_backend(std::function<void(QTcpSocket&)> on_request)
+    {
+        app();
+        listener.listen(QHostAddress::LocalHost);
+        QObject::connect(&listener, &QTcpServer::newConnection, &listener,
+                         [this, on_request]
+                         {
+                             auto* socket = listener.nextPendingConnection();
+                             QObject::connect(
+                                 socket, &QTcpSocket::readyRead, socket,
+                                 [this, socket, on_request]
+                                 {
+                                     const auto bytes = socket->readAll();
+                                     received += bytes.count("HTTP/1.1\r\n");
+                                     on_request(*socket);
+                                 });
+                         });
+    }
+
+    [[nodiscard]] config::endpoint endpoint() const
+    {
+        return {"127.0.0.1", listener.serverPort()};
+    }
+
+    QTcpServer listener;
+    int received{0};
+};
+
+http_request post()
+{
+    return {"POST", "/", {}, "body"};
+}
+
+TEST(http_client, sends_a_post_once_when_the_server_closes_after_reading)
+{
+    int answered = 0;
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            if (answered++ == 0)
+            {
+                socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                return;
+            }
+            socket.disconnectFromHost();
+        });
+    recorder handler;
+    client target(backend.endpoint(), {}, 4, handler);
+    target.start(1, post());
+    ASSERT_TRUE(wait_for([&] { return handler.ends.contains(1); }));
+    EXPECT_EQ(handler.ends[1].second.body, "ok");
+    EXPECT_EQ(target.idle(), 1U);
+    target.start(2, post()); // On the connection that was kept.
+    ASSERT_TRUE(wait_for([&] { return handler.ends.contains(2); }));
+    EXPECT_EQ(handler.ends[2].first, client_end::failed);
+    wait_for([] { return false; });
+    EXPECT_EQ(backend.received, 2);
+}
+
+TEST(http_client, an_answer_that_is_not_whole_is_no_answer)
+{
+    const QByteArray cases[] = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\n\r\nends with the connection",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+        "garbage\r\n\r\n"};
+    for (const auto& bytes : cases)
+    {
+        scripted_backend backend(
+            [&](QTcpSocket& socket)
+            {
+                socket.write(bytes);
+                socket.disconnectFromHost();
+            });
+        recorder handler;
+        client target(backend.endpoint(), {}, 4, handler);
+        target.start(1, post());
+        ASSERT_TRUE(wait_for([&] { return handler.ends.contains(1); }));
+        EXPECT_EQ(handler.ends[1].first, client_end::failed)
+            << bytes.toStdString();
+        EXPECT_EQ(target.idle(), 0U);
+    }
+}
+
+TEST(http_client, interim_answers_and_stray_bytes)
+{
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            socket.write("HTTP/1.1 102 Processing\r\n\r\n"
+                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
+        });
+    recorder handler;
+    client target(backend.endpoint(), {}, 4, handler);
+    target.start(1, post());
+    ASSERT_TRUE(wait_for([&] { return handler.ends.contains(1); }));
+    EXPECT_EQ(handler.ends[1].second.body, "ok");
+    EXPECT_EQ(target.idle(), 0U); // Never used for another request.
+}
+
+TEST(http_client, tells_unreachable_from_failed)
+{
+    recorder handler;
+    client target(free_endpoint(), {}, 4, handler);
+    target.start(1, post());
+    ASSERT_TRUE(wait_for([&] { return handler.ends.contains(1); }));
+    EXPECT_EQ(handler.ends[1].first, client_end::unreachable);
+}
+
+TEST(http_client, opens_as_many_connections_as_there_are_requests)
+{
+    scripted_backend backend([](QTcpSocket&) {});
+    recorder handler;
+    client target(backend.endpoint(), {}, 4, handler);
+    for (std::uint64_t i = 1; i <= 24; ++i)
+    {
+        target.start(i, post());
+    }
+    EXPECT_TRUE(wait_for([&] { return backend.received == 24; }));
+    target.cancel(3);
+    EXPECT_FALSE(handler.ends.contains(3));
+}
+
+} // namespace
+} // namespace jujubespan::http
--- /dev/null
+++ b/src/jujubespan/peer/messenger_test.cpp
@@ -0,0 +1,214 @@
+// Messages between nodes over real sockets.
+
+#include "jujubespan/peer/messenger.hpp"
+
+#include "jujubespan/peer/codec.hpp"
+#include "jujubespan/peer/peer.pb.h"
+
+#include <gtest/gtest.h>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+
+#include <functional>
+
+namespace jujubespan::peer
+{
+namespace
+{
+
+constexpr int patience = 5000; // milliseconds
+
+QCoreApplication& app()
+{
+    static int argc = 1;
+    static char name[] = "test";
+    static char* argv[] = {name, nullptr};
+    static QCoreApplication instance(argc, argv);
+    return instance;
+}
+
+bool wait_for(const std::function<bool()>& done, int most = patience)
+{
+    QElapsedTimer timer;
+    timer.start();
+    while (!done() && timer.elapsed() < most)
+    {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+    }
+    return done();
+}
+
+class recorder final : public message_handler
+{
+public:
+    void on_message(const v1::Envelope& message, const route& from) override
+    {
+        messages.push_back(message);
+        last_route = from;
+    }
+    void on_lost(std::string_view peer) override { lost.emplace_back(peer); }
+    void on_unsent(std::string_view peer,
+                   const v1::Envelope& /*message*/) override
+    {
+        unsent.emplace_back(peer);
+    }
+
+    std::vector<v1::Envelope> messages;
+    std::vector<std::string> lost;
+    std::vector<std::string> unsent;
+    route last_route;
+};
+
+v1::Envelope call(std::uint64_t id)
+{
+    v1::Envelope message;
+    message.mutable_call()->set_id(id);
+    return message;
+}
+
+class messengers : public ::testing::Test
+{
+protected:
+    messengers()
+    {
+        b.raw_port = bind(b.target);
+        a.target.set_peers(std::vector<peer_address>{
+            {"b", "127.0.0.1:" + std::to_string(b.raw_port), ""},
+            {"gone", "127.0.0.1:9", ""}});
+    }
+
+    struct side
+    {
+        side(zmq::context_t& context, const std::string& id)
+            : target(context, id, 1, {}, handler)
+        {
+        }
+        recorder handler;
+        messenger target;
+        std::uint16_t raw_port{0};
+    };
+
+    static std::uint16_t bind(messenger& target)
+    {
+        for (std::uint16_t port = 23100; port < 23200; ++port)
+        {
+            if (target.bind({"127.0.0.1", port}).ok())
+            {
+                return port;
+            }
+        }
+        return 0;
+    }
+
+    QCoreApplication& first_of_all{app()};
+    zmq::context_t context{1};
+    side a{context, "a"};
+    side b{context, "b"};
+};
+
+TEST_F(messengers, holds_a_message_until_connected_and_answers)
+{
+    auto message = call(7);
+    EXPECT_TRUE(a.target.send("b", message, boot_clock::now()));
+    ASSERT_TRUE(wait_for([&] { return b.handler.messages.size() == 1; }));
+    EXPECT_EQ(b.handler.messages[0].from(), "a");
+    v1::Envelope reply;
+    reply.mutable_reply()->set_id(7);
+    EXPECT_TRUE(b.target.reply(b.handler.last_route, "a", reply));
+    ASSERT_TRUE(wait_for([&] { return a.handler.messages.size() == 1; }));
+    EXPECT_TRUE(a.handler.last_route.empty());
+}
+
+TEST_F(messengers, an_unreachable_peer_is_reported_unsent)
+{
+    auto message = call(7);
+    EXPECT_TRUE(a.target.send("gone", message, boot_clock::now()));
+    EXPECT_FALSE(a.target.send("stranger", message, boot_clock::now()));
+    wait_for([] { return false; }, 50);
+    a.target.expire(boot_clock::now() + std::chrono::seconds(1));
+    EXPECT_EQ(a.handler.unsent, (std::vector<std::string>{"gone"}));
+}
+
+TEST_F(messengers, drops_what_is_not_for_this_node)
+{
+    zmq::socket_t stranger(context, zmq::socket_type::dealer);
+    stranger.connect("tcp://127.0.0.1:" + std::to_string(b.raw_port));
+    const auto send = [&](const std::string& bytes)
+    { stranger.send(zmq::buffer(bytes), zmq::send_flags::none); };
+    send("these bytes are not protobuf");
+    auto unknown = call(1);
+    unknown.set_version(2);
+    unknown.set_to("b");
+    send(unknown.SerializeAsString());
+    auto misaddressed = call(1);
+    misaddressed.set_version(1);
+    misaddressed.set_to("c");
+    send(misaddressed.SerializeAsString());
+    stranger.send(zmq::str_buffer("two"), zmq::send_flags::sndmore);
+    stranger.send(zmq::str_buffer("parts"), zmq::send_flags::none);
+    const auto& counters = b.target.counters();
+    EXPECT_TRUE(wait_for(
+        [&]
+        {
+            return counters.malformed == 2 && counters.wrong_version == 1 &&
+                   counters.wrong_receiver == 1;
+        }));
+    EXPECT_TRUE(b.handler.messages.empty());
+}
+
+TEST_F(messengers, tells_a_lost_connection)
+{
+    {
+        side c(context, "c");
+        c.raw_port = bind(c.target);
+        a.target.set_peers(std::vector<peer_address>{
+            {"c", "127.0.0.1:" + std::to_string(c.raw_port), ""}});
+        auto message = call(1);
+        a.target.send("c", message, boot_clock::now());
+        ASSERT_TRUE(wait_for([&] { return c.handler.messages.size() == 1; }));
+    }
+    EXPECT_TRUE(wait_for([&] { return !a.handler.lost.empty(); }));
+}
+
+TEST(codec, refuses_fields_out_of_range)
+{
+    v1::Call good;
+    good.set_method("GET");
+    good.set_target("/");
+    const time_point now(std::chrono::seconds(1000));
+    EXPECT_TRUE(decode(good, now));
+    auto bad = good;
+    bad.set_request_class(9);
+    EXPECT_FALSE(decode(bad, now));
+    bad = good;
+    bad.set_shed_key(open_level);
+    EXPECT_FALSE(decode(bad, now));
+    bad = good;
+    bad.set_remaining_us(~0ULL);
+    EXPECT_FALSE(decode(bad, now));
+    v1::Reply reply;
+    reply.set_outcome(0);
+    EXPECT_FALSE(decode(reply)); // Answered, without a status.
+    reply.set_outcome(17);
+    reply.set_status(200);
+    EXPECT_FALSE(decode(reply));
+}
+
+TEST(codec, an_answer_is_read_back_whole)
+{
+    engine::answer value;
+    value.response = {201, {{"A", "b"}}, std::string("\0body", 5)};
+    value.levels = {{"stock", 77}};
+    value.credits_unspent = 2;
+    v1::Reply message;
+    encode(value, message);
+    const auto back = decode(message);
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->response, value.response);
+    EXPECT_EQ(back->levels, value.levels);
+    EXPECT_EQ(back->credits_unspent, 2U);
+}
+
+} // namespace
+} // namespace jujubespan::peer
