--- a/include/jujubespan/engine/call_engine.hpp
+++ b/include/jujubespan/engine/call_engine.hpp
@@ -216,7 +216,7 @@
                        std::string service, time_point now);
     bool join_keyed(inbound_call& parent, reply_to origin,
                     const http_request& request);
-    void forward(inbound_call call, std::optional<ticket> owner,
+    void forward(inbound_call&& call, std::optional<ticket> owner,
                  time_point now);
     void launch(outbound_call call, time_point now);
     bool send_attempt(std::uint64_t id, time_point now);
--- a/src/jujubespan/engine/call_engine_outbound.cpp
+++ b/src/jujubespan/engine/call_engine_outbound.cpp
@@ -201,7 +201,7 @@
     return true;
 }
 
-void call_engine::forward(inbound_call call, std::optional<ticket> owner,
+void call_engine::forward(inbound_call&& call, std::optional<ticket> owner,
                           time_point now)
 {
     outbound_call out;
--- a/src/jujubespan/node/control_loop.cpp
+++ b/src/jujubespan/node/control_loop.cpp
@@ -22,6 +22,7 @@
 constexpr duration fallback_silence = std::chrono::seconds(3);
 constexpr duration fallback_spread = std::chrono::seconds(6);
 constexpr std::size_t max_borrows = 1024;
+constexpr int start_spread_ms = 1000;
 
 std::string_view name_of(topic which)
 {
@@ -55,7 +56,10 @@
         return status;
     }
     choose_peers();
-    platform_.read();
+    // Spread, so that nodes that start together stay within the read budget.
+    std::uniform_int_distribution<int> delay(0, start_spread_ms);
+    QTimer::singleShot(delay(random_), &tick_timer_,
+                       [this] { platform_.read(); });
     tick_timer_.start(tick_interval);
     return absl::OkStatus();
 }
