--- /dev/null
+++ b/src/jujubespan/operators/report_test.cpp
@@ -0,0 +1,82 @@
+#include "jujubespan/operators/report.hpp"
+
+#include "jujubespan/config/settings.hpp"
+#include "jujubespan/config/status_text.hpp"
+
+#include <gtest/gtest.h>
+
+#include <regex>
+
+namespace jujubespan::operators
+{
+namespace
+{
+
+std::string operators_page()
+{
+    return *config::read_file(std::string(JUJUBESPAN_SOURCE_DIR) +
+                              "/docs/OPERATORS.md");
+}
+
+TEST(operators_page, names_every_metric)
+{
+    const auto page = operators_page();
+    const auto text = to_metrics(node_report{});
+    const std::regex family("# TYPE (\\S+) ");
+    int families = 0;
+    for (std::sregex_iterator it(text.begin(), text.end(), family), end;
+         it != end; ++it)
+    {
+        const auto name = (*it)[1].str();
+        EXPECT_NE(page.find("`" + name + "`"), std::string::npos) << name;
+        ++families;
+    }
+    EXPECT_GT(families, 20);
+}
+
+TEST(operators_page, names_every_setting)
+{
+    const auto page = operators_page();
+    const auto parsed = config::parse_settings("{\"x\": 1}", "s");
+    const auto errors = text_of(parsed.status());
+    const auto begin = errors.find("known are ") + 10;
+    const std::string known = errors.substr(begin);
+    const std::regex word("[a-z_]+");
+    int settings = 0;
+    for (std::sregex_iterator it(known.begin(), known.end(), word), end;
+         it != end; ++it)
+    {
+        EXPECT_NE(page.find("| `" + it->str() + "` |"), std::string::npos)
+            << it->str();
+        ++settings;
+    }
+    EXPECT_GT(settings, 25);
+}
+
+TEST(report, metrics_have_one_type_line_each_and_escaped_labels)
+{
+    node_report report;
+    report.metrics.latency[{"a\"b\\c", request_class::normal}].add(
+        std::chrono::milliseconds(3));
+    const auto text = to_metrics(report);
+    EXPECT_NE(
+        text.find("customer=\"a\\\"b\\\\c\",class=\"normal\",le=\"0.005\"} 1"),
+        std::string::npos)
+        << text.substr(0, 600);
+    EXPECT_NE(text.find("le=\"0.002\"} 0"), std::string::npos);
+    EXPECT_NE(text.find("jujubespan_request_seconds_count"), std::string::npos);
+}
+
+TEST(report, explains_a_decision)
+{
+    engine::decision item;
+    item.request_id = "r";
+    item.result = engine::outcome::not_run;
+    item.reason = engine::reason::downstream_overload;
+    const std::vector<engine::decision> items{item};
+    EXPECT_NE(to_json(items).find("\"downstream-overload\""),
+              std::string::npos);
+}
+
+} // namespace
+} // namespace jujubespan::operators
