Only keys that are published or trusted connect to a node

Cause: with keys set, connections were encrypted, but a stranger that knew a node's public key could connect. Change: an authenticator for all sockets of the process allows the keys of the instance list and the trusted ones; a peer without a published key is not called. The test fails without the authenticator's check of the key set: a stranger, a wrong key, an unpublished key and plain messages get nothing; two keys of one peer work side by side.

--- a/include/jujubespan/node/control_loop.hpp
+++ b/include/jujubespan/node/control_loop.hpp
@@ -4,6 +4,7 @@
 #include "jujubespan/node/topic_store.hpp"
 #include "jujubespan/node/traffic_loop.hpp"
 #include "jujubespan/operators/operator_endpoint.hpp"
+#include "jujubespan/peer/authenticator.hpp"
 #include "jujubespan/peer/control_transport.hpp"
 #include "jujubespan/platform/platform_client.hpp"
 #include "jujubespan/policy/control_plane.hpp"
@@ -28,8 +29,10 @@
 {
 public:
     /// @param traffic outlives the loop.
+    /// @param keys outlives the loop; null without encryption.
     control_loop(const config::settings& options, std::uint64_t incarnation,
-                 zmq::context_t& context, traffic_loop& traffic);
+                 zmq::context_t& context, traffic_loop& traffic,
+                 peer::authenticator* keys);
 
     absl::Status start();
 
@@ -70,6 +73,7 @@
     store_result apply(topic which, const versioned_delta& delta,
                        std::string_view source);
     void publish(topic which);
+    void allow_keys();
     void choose_peers();
     void choose_reader();
     void note_contact(std::string_view peer);
@@ -83,6 +87,7 @@
     config::settings options_;
     std::uint64_t incarnation_;
     traffic_loop& traffic_;
+    peer::authenticator* keys_;
     std::mt19937_64 random_;
     topic_store store_;
     peer::control_transport peers_;
--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -110,6 +110,7 @@
 private:
     struct link;
 
+    [[nodiscard]] bool can_connect(std::string_view peer) const;
     link& connect(std::string_view peer);
     void seal(v1::Envelope& message, std::string_view to) const;
     bool transmit(link& to, const v1::Envelope& message);
--- a/src/jujubespan/node/control_loop.cpp
+++ b/src/jujubespan/node/control_loop.cpp
@@ -33,9 +33,10 @@
 
 control_loop::control_loop(const config::settings& options,
                            std::uint64_t incarnation, zmq::context_t& context,
-                           traffic_loop& traffic)
+                           traffic_loop& traffic, peer::authenticator* keys)
     : options_(options), incarnation_(incarnation), traffic_(traffic),
-      random_(incarnation), peers_(context, options, incarnation, *this),
+      keys_(keys), random_(incarnation),
+      peers_(context, options, incarnation, *this),
       platform_(options.platform_address, incarnation, *this),
       operators_(*this), fallback_(fallback_silence, fallback_spread),
       pauses_(pause_threshold)
@@ -55,6 +56,7 @@
     {
         return status;
     }
+    allow_keys();
     choose_peers();
     // Spread, so that nodes that start together stay within the read budget.
     std::uniform_int_distribution<int> delay(0, start_spread_ms);
@@ -243,12 +245,30 @@
     {
         traffic_.post([this, list = store_.instances()]
                       { traffic_.apply_instances(list); });
+        allow_keys();
         choose_peers();
         choose_reader();
     }
     broadcast();
 }
 
+void control_loop::allow_keys()
+{
+    if (keys_ == nullptr)
+    {
+        return;
+    }
+    std::vector<std::string> keys = options_.keys.trusted;
+    for (const auto& item : store_.instances())
+    {
+        if (!item.public_key.empty())
+        {
+            keys.push_back(item.public_key);
+        }
+    }
+    keys_->allow(keys);
+}
+
 void control_loop::choose_peers()
 {
     const auto& list = store_.instances();
--- a/src/jujubespan/node/node.cpp
+++ b/src/jujubespan/node/node.cpp
@@ -12,6 +12,7 @@
 
 #include <csignal>
 #include <memory>
+#include <optional>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -97,12 +98,18 @@
     set_log_level(parse_log_level(options.log_level).value_or(log_level::info));
     zmq::context_t context(1);
     const auto incarnation = new_incarnation();
+    std::optional<peer::authenticator> keys;
+    if (options.keys.enabled())
+    {
+        keys.emplace(context);
+    }
     traffic_thread traffic(options, incarnation, context);
     if (!traffic.status().ok())
     {
         return fail(traffic.status());
     }
-    control_loop control(options, incarnation, context, traffic.loop());
+    control_loop control(options, incarnation, context, traffic.loop(),
+                         keys ? &*keys : nullptr);
     if (auto status = control.start(); !status.ok())
     {
         return fail(status);
--- /dev/null
+++ b/src/jujubespan/peer/authenticator.cpp
@@ -0,0 +1,97 @@
+#include "jujubespan/peer/authenticator.hpp"
+
+#include "jujubespan/metrics/log.hpp"
+
+#include <array>
+#include <vector>
+
+namespace jujubespan::peer
+{
+
+namespace
+{
+
+constexpr auto zap_endpoint = "inproc://zeromq.zap.01";
+constexpr std::size_t raw_key_size = 32;
+constexpr std::size_t z85_buffer_size = 41; // with the final zero
+
+// Frames of a request.
+constexpr std::size_t version_frame = 0;
+constexpr std::size_t id_frame = 1;
+constexpr std::size_t address_frame = 3;
+constexpr std::size_t mechanism_frame = 5;
+constexpr std::size_t key_frame = 6;
+constexpr std::size_t frame_count = 7;
+
+} // namespace
+
+authenticator::authenticator(zmq::context_t& context)
+    : socket_(context, zmq::socket_type::rep, [this] { receive(); })
+{
+    socket_.raw().bind(zap_endpoint);
+    socket_.watch();
+}
+
+void authenticator::allow(std::span<const std::string> keys)
+{
+    keys_ = std::set<std::string>(keys.begin(), keys.end());
+}
+
+void authenticator::receive()
+{
+    zmq::message_t frame;
+    while (socket_.receive(frame))
+    {
+        std::vector<zmq::message_t> request;
+        bool more = frame.more();
+        request.push_back(std::move(frame));
+        while (more && socket_.receive(frame))
+        {
+            more = frame.more();
+            request.push_back(std::move(frame));
+        }
+        answer(request);
+    }
+}
+
+bool authenticator::allowed(std::span<const zmq::message_t> request) const
+{
+    if (request.size() < frame_count ||
+        request[mechanism_frame].to_string_view() != "CURVE" ||
+        request[key_frame].size() != raw_key_size)
+    {
+        return false;
+    }
+    std::array<char, z85_buffer_size> text{};
+    zmq_z85_encode(text.data(), request[key_frame].data<std::uint8_t>(),
+                   raw_key_size);
+    return keys_.contains(std::string(text.data()));
+}
+
+void authenticator::answer(std::span<const zmq::message_t> request)
+{
+    const bool good = allowed(request);
+    const auto frame = [&](std::size_t index) {
+        return index < request.size() ? request[index].to_string()
+                                      : std::string();
+    };
+    if (!good)
+    {
+        ++refused_;
+        log(log_level::warn, "peer_refused", "address={}",
+            frame(address_frame));
+    }
+    const std::array<std::string, 6> reply{frame(version_frame),
+                                           frame(id_frame),
+                                           good ? "200" : "400",
+                                           good ? "OK" : "key is not allowed",
+                                           "",
+                                           ""};
+    for (std::size_t i = 0; i < reply.size(); ++i)
+    {
+        socket_.send(zmq::message_t(reply[i].data(), reply[i].size()),
+                     i + 1 < reply.size());
+    }
+}
+
+} // namespace jujubespan::peer
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -16,7 +16,8 @@
 
 constexpr std::uint32_t protocol_version = 1;
 constexpr duration longest_hold = std::chrono::milliseconds(250);
-constexpr std::size_t most_held = 64; // messages to one peer
+constexpr std::size_t public_key_size = 40; // Z85 characters
+constexpr std::size_t most_held = 64;       // messages to one peer
 
 // Takes the time that a call was held off its deadline.
 void shorten_deadline(v1::Envelope& message, duration held)
@@ -120,6 +121,14 @@
     }
 }
 
+bool messenger::can_connect(std::string_view peer) const
+{
+    const auto found = addresses_.find(peer);
+    return found != addresses_.end() &&
+           (!keys_.enabled() ||
+            found->second.public_key.size() == public_key_size);
+}
+
 messenger::link& messenger::connect(std::string_view peer)
 {
     static std::uint64_t next_number = 0;
@@ -150,7 +159,7 @@
 bool messenger::send(std::string_view peer, v1::Envelope& message,
                      time_point now)
 {
-    if (!knows(peer))
+    if (!can_connect(peer))
     {
         return false;
     }
--- a/src/jujubespan/peer/messenger_test.cpp
+++ b/src/jujubespan/peer/messenger_test.cpp
@@ -2,6 +2,7 @@
 
 #include "jujubespan/peer/messenger.hpp"
 
+#include "jujubespan/peer/authenticator.hpp"
 #include "jujubespan/peer/codec.hpp"
 #include "jujubespan/peer/peer.pb.h"
 
@@ -10,6 +11,7 @@
 #include <QCoreApplication>
 #include <QElapsedTimer>
 
+#include <array>
 #include <functional>
 
 namespace jujubespan::peer
@@ -67,12 +69,24 @@
     return message;
 }
 
+std::uint16_t bind_free_port(messenger& target)
+{
+    for (std::uint16_t port = 23100; port < 23200; ++port)
+    {
+        if (target.bind({"127.0.0.1", port}).ok())
+        {
+            return port;
+        }
+    }
+    return 0;
+}
+
 class messengers : public ::testing::Test
 {
 protected:
     messengers()
     {
-        b.raw_port = bind(b.target);
+        b.raw_port = bind_free_port(b.target);
         a.target.set_peers(std::vector<peer_address>{
             {"b", "127.0.0.1:" + std::to_string(b.raw_port), ""},
             {"gone", "127.0.0.1:9", ""}});
@@ -89,18 +103,6 @@
         std::uint16_t raw_port{0};
     };
 
-    static std::uint16_t bind(messenger& target)
-    {
-        for (std::uint16_t port = 23100; port < 23200; ++port)
-        {
-            if (target.bind({"127.0.0.1", port}).ok())
-            {
-                return port;
-            }
-        }
-        return 0;
-    }
-
     QCoreApplication& first_of_all{app()};
     zmq::context_t context{1};
     side a{context, "a"};
@@ -133,6 +135,7 @@
 TEST_F(messengers, drops_what_is_not_for_this_node)
 {
     zmq::socket_t stranger(context, zmq::socket_type::dealer);
+    stranger.set(zmq::sockopt::linger, 0); // Else the context waits for it.
     stranger.connect("tcp://127.0.0.1:" + std::to_string(b.raw_port));
     const auto send = [&](const std::string& bytes)
     { stranger.send(zmq::buffer(bytes), zmq::send_flags::none); };
@@ -161,7 +164,7 @@
 {
     {
         side c(context, "c");
-        c.raw_port = bind(c.target);
+        c.raw_port = bind_free_port(c.target);
         a.target.set_peers(std::vector<peer_address>{
             {"c", "127.0.0.1:" + std::to_string(c.raw_port), ""}});
         auto message = call(1);
@@ -171,6 +174,79 @@
     EXPECT_TRUE(wait_for([&] { return !a.handler.lost.empty(); }));
 }
 
+struct key_pair
+{
+    key_pair() { zmq_curve_keypair(public_text.data(), secret_text.data()); }
+
+    [[nodiscard]] config::peer_keys keys() const
+    {
+        return {public_text.data(), secret_text.data(), {}};
+    }
+
+    std::array<char, 41> public_text{};
+    std::array<char, 41> secret_text{};
+};
+
+// A server that allows one key, and a client with keys of its own.
+class encrypted : public ::testing::Test
+{
+protected:
+    bool reaches(const key_pair& client, const std::string& server_key)
+    {
+        recorder heard;
+        messenger target(context, "a", 1, client.keys(), heard);
+        target.set_peers(std::vector<peer_address>{
+            {"b", "127.0.0.1:" + std::to_string(port), server_key}});
+        auto message = call(1);
+        target.send("b", message, boot_clock::now());
+        const auto before = server_heard.messages.size();
+        return wait_for([&] { return server_heard.messages.size() > before; },
+                        500);
+    }
+
+    QCoreApplication& first_of_all{app()};
+    zmq::context_t context{1};
+    authenticator keys{context};
+    key_pair server_keys;
+    key_pair friend_keys;
+    recorder server_heard;
+    messenger server{context, "b", 1, server_keys.keys(), server_heard};
+    std::uint16_t port{bind_free_port(server)};
+};
+
+TEST_F(encrypted, only_allowed_keys_get_through)
+{
+    const std::string server_key(server_keys.public_text.data());
+    keys.allow(std::vector<std::string>{friend_keys.public_text.data()});
+    EXPECT_TRUE(reaches(friend_keys, server_key));
+    EXPECT_FALSE(reaches(key_pair(), server_key)); // A stranger.
+    EXPECT_GE(keys.refused(), 1U);
+    const key_pair other;
+    EXPECT_FALSE(reaches(friend_keys, other.public_text.data()));
+    EXPECT_FALSE(reaches(friend_keys, "")); // Its key is not published.
+    // Renewal: the old and the new key are allowed side by side.
+    const key_pair renewed;
+    keys.allow(std::vector<std::string>{friend_keys.public_text.data(),
+                                        renewed.public_text.data()});
+    EXPECT_TRUE(reaches(renewed, server_key));
+    EXPECT_TRUE(reaches(friend_keys, server_key));
+}
+
+TEST_F(encrypted, plain_messages_get_nothing)
+{
+    zmq::socket_t stranger(context, zmq::socket_type::dealer);
+    stranger.set(zmq::sockopt::linger, 0); // Else the context waits for it.
+    stranger.connect("tcp://127.0.0.1:" + std::to_string(port));
+    auto message = call(1);
+    message.set_version(1);
+    message.set_to("b");
+    stranger.send(zmq::buffer(message.SerializeAsString()),
+                  zmq::send_flags::dontwait);
+    wait_for([] { return false; }, 300);
+    EXPECT_TRUE(server_heard.messages.empty());
+    EXPECT_EQ(server.counters().received, 0U);
+}
+
 TEST(codec, refuses_fields_out_of_range)
 {
     v1::Call good;
--- a/src/jujubespan/policy/concurrency_limit_test.cpp
+++ b/src/jujubespan/policy/concurrency_limit_test.cpp
@@ -29,8 +29,9 @@
         while (now < end)
         {
             // All calls in the server share its slots.
-            const double rate =
-                std::min<double>(running_.size(), slots_) / seconds(work);
+            const double rate = std::min(static_cast<double>(running_.size()),
+                                         static_cast<double>(slots_)) /
+                                seconds(work);
             now += from_seconds(1 / rate);
             const auto begun = running_.front();
             running_.pop();
--- a/src/jujubespan/policy/rate_share_test.cpp
+++ b/src/jujubespan/policy/rate_share_test.cpp
@@ -92,6 +92,7 @@
             std::vector<std::string> list;
         };
         std::vector<rate_share> nodes;
+        nodes.reserve(6);
         std::vector<bool> listed(6, true);
         std::vector<time_point> cut_until(6, start);
         std::vector<int> seen(6, 0);
