--- a/include/jujubespan/node/control_loop.hpp
+++ b/include/jujubespan/node/control_loop.hpp
@@ -16,7 +16,9 @@
 #include <QTimer>
 
 #include <cstdint>
+#include <functional>
 #include <random>
+#include <span>
 
 namespace jujubespan::node
 {
@@ -81,6 +83,11 @@
     void send_heartbeats(time_point now);
     void broadcast();
     void ask_for_shares(time_point now);
+    void borrow(std::span<const engine::borrow_wish> wishes,
+                time_point asked_at);
+
+    /// @brief Runs a function on the control thread, later.
+    void post(std::function<void()> task);
     [[nodiscard]] peer::heartbeat present() const;
     [[nodiscard]] duration heartbeat_interval() const;
 
@@ -97,6 +104,7 @@
     pause_detector pauses_;
     QTimer tick_timer_;
     std::vector<std::string> neighbours_;
+    std::vector<std::string> lenders_; // neighbours of the own domain
     std::vector<std::string> own_domain_;
     std::size_t next_neighbour_{0};
     std::size_t next_lender_{0};
--- a/src/jujubespan/node/control_loop.cpp
+++ b/src/jujubespan/node/control_loop.cpp
@@ -195,15 +195,16 @@
 
 void control_loop::on_platform_delta(topic which, const versioned_delta& delta)
 {
-    traffic_.post(
-        [this] { traffic_.calls().customers().on_contact(boot_clock::now()); });
     const auto result = apply(which, delta, "platform");
     if (result == store_result::stale)
     {
         log(log_level::warn, "platform_stale",
             "topic={} revision={} in_force={}", name_of(which), delta.revision,
             store_.revision(which));
+        return;
     }
+    traffic_.post(
+        [this] { traffic_.calls().customers().on_contact(boot_clock::now()); });
 }
 
 void control_loop::on_platform_failure(topic which, const absl::Status& why)
@@ -276,6 +277,7 @@
                                         list, foreign_peers);
     std::vector<peer::peer_address> addresses;
     neighbours_.clear();
+    lenders_.clear();
     own_domain_.clear();
     for (const auto& item : list)
     {
@@ -289,6 +291,10 @@
     {
         addresses.push_back({item.id, item.control_address, item.public_key});
         neighbours_.push_back(item.id);
+        if (item.failure_domain == options_.failure_domain)
+        {
+            lenders_.push_back(item.id);
+        }
     }
     for (const auto& seed : options_.seeds)
     {
@@ -322,43 +328,48 @@
 
 void control_loop::ask_for_shares(time_point now)
 {
-    std::erase_if(own_domain_,
-                  [this](const auto& id) { return id == options_.id; });
     traffic_.post(
         [this, now]
         {
             auto wishes = traffic_.calls().customers().take_wishes(now);
-            if (wishes.empty())
+            if (!wishes.empty())
             {
-                return;
+                post([this, wishes = std::move(wishes), now]
+                     { borrow(wishes, now); });
             }
-            QMetaObject::invokeMethod(
-                &tick_timer_,
-                [this, wishes = std::move(wishes), now]
-                {
-                    if (neighbours_.empty() || borrows_.size() > max_borrows)
-                    {
-                        borrows_.clear();
-                        return;
-                    }
-                    for (const auto& wish : wishes)
-                    {
-                        for (std::size_t i = 0; i < lenders_asked; ++i)
-                        {
-                            next_lender_ =
-                                (next_lender_ + 1) % neighbours_.size();
-                            const auto id = next_borrow_id_++;
-                            borrows_[id] = {wish.customer, now};
-                            peers_.borrow(
-                                neighbours_[next_lender_],
-                                {id, wish.customer, wish.rate / lenders_asked});
-                        }
-                    }
-                },
-                Qt::QueuedConnection);
         });
 }
 
+void control_loop::borrow(std::span<const engine::borrow_wish> wishes,
+                          time_point asked_at)
+{
+    if (borrows_.size() > max_borrows)
+    {
+        borrows_.clear(); // Grants that never came.
+    }
+    if (lenders_.empty())
+    {
+        return;
+    }
+    for (const auto& wish : wishes)
+    {
+        for (std::size_t i = 0; i < lenders_asked; ++i)
+        {
+            next_lender_ = (next_lender_ + 1) % lenders_.size();
+            const auto id = next_borrow_id_++;
+            borrows_[id] = {wish.customer, asked_at};
+            peers_.borrow(lenders_[next_lender_],
+                          {id, wish.customer, wish.rate / lenders_asked});
+        }
+    }
+}
+
+void control_loop::post(std::function<void()> task)
+{
+    QMetaObject::invokeMethod(&tick_timer_, std::move(task),
+                              Qt::QueuedConnection);
+}
+
 void control_loop::on_borrow(std::string_view peer,
                              const peer::rate_lease& request)
 {
@@ -383,12 +394,10 @@
             {
                 return;
             }
-            QMetaObject::invokeMethod(
-                &tick_timer_,
+            post(
                 [this, id, request, granted] {
                     peers_.grant(id, {request.id, request.customer, granted});
-                },
-                Qt::QueuedConnection);
+                });
         });
 }
 
