--- a/bench/control.py
+++ b/bench/control.py
@@ -7,6 +7,7 @@
 usage: control.py [peers] [customers] [revisions] (default: all)
 """
 
+import json
 import statistics
 import sys
 import time
@@ -44,7 +45,6 @@
             super().spawn(key, arguments)
 
     def publish(self, name, rate):
-        import json
         body = json.dumps(contract(name, rate)).encode()
         return int(http("PUT", f"http://127.0.0.1:{self.base}/admin/contracts/"
                                f"{name}", body))
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -6,12 +6,11 @@
 Environment: SECONDS_EACH (default 6), LOADS (default 1,2,5,10).
 """
 
+import json
 import os
 import subprocess
 import sys
-import threading
 import time
-import json
 
 from mesh import Mesh, ROOT
 import plot
@@ -37,7 +36,7 @@
 
 def deployment():
     names = [spec.split(":")[0] for spec in SERVICES]
-    methods, script = [], {}
+    methods = []
     for kind in SHARES:
         verb = "POST" if kind == "buy" else "GET"
         for i, name in enumerate(names):
@@ -49,18 +48,11 @@
     return terms, names
 
 
-def scripts(names):
-    """Work of each method; a method is known by its path alone, so every
-    service has its own paths."""
-    return names
-
-
 class Chain(Mesh):
     def __init__(self, protection):
         terms, names = deployment()
-        script = {}
         extra = "" if protection else '"protection": false,'
-        super().__init__(SERVICES, [terms], script, extra=extra)
+        super().__init__(SERVICES, [terms], {}, extra=extra)
         # Every backend server runs its own script.
         for i, name in enumerate(names):
             callee = names[i + 1] if i + 1 < len(names) else None
@@ -116,7 +108,6 @@
 
 
 def print_row(name, row):
-    kinds = " ".join(f"{100 * v:6.1f}" for v in row["kinds"].values())
     print(f"| {name:12} | {row['load']:4.0f}x | {row['goodput']:7.0f} | "
           f"{100 * row['goodput'] / CAPACITY:5.1f} | "
           f"{' | '.join(f'{100 * v:5.1f}' for v in row['kinds'].values())} | "
--- a/include/jujubespan/config/settings.hpp
+++ b/include/jujubespan/config/settings.hpp
@@ -39,6 +39,7 @@
 {
     std::size_t max_body_bytes{1 << 20};
     std::size_t max_header_bytes{16 << 10};
+    std::size_t max_buffered_bytes{16 << 20}; ///< Of all unanswered requests.
     std::size_t max_connections{1400};
     std::size_t max_in_flight{2048};
     std::size_t max_queue{512};
--- a/include/jujubespan/http/server.hpp
+++ b/include/jujubespan/http/server.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 namespace jujubespan::http
 {
@@ -34,8 +35,8 @@
 /// @brief HTTP/1.1 server on the event loop of its thread.
 ///
 /// One request of a connection is handled at a time, so that responses leave
-/// in the order of their requests. Connections, headers, bodies, and the time
-/// to receive a request are bounded.
+/// in the order of their requests. Connections, headers, bodies, the bytes of
+/// all unanswered requests, and the time to receive one are bounded.
 class server
 {
 public:
@@ -62,6 +63,7 @@
 
     void accept();
     void sweep();
+    [[nodiscard]] std::vector<server_connection*> all() const;
     void remove(server_connection* connection);
 
     config::bounds limits_;
@@ -69,6 +71,7 @@
     QTcpServer listener_;
     QTimer sweep_timer_;
     bool draining_{false};
+    std::size_t buffered_{0}; // bytes of requests without an answer
     std::uint64_t next_exchange_{1};
     absl::flat_hash_map<server_connection*, std::unique_ptr<server_connection>>
         connections_;
--- a/src/jujubespan/config/settings.cpp
+++ b/src/jujubespan/config/settings.cpp
@@ -67,6 +67,8 @@
         reader.integer_or("max_body_bytes", 1 << 20, 1024, 16 << 20);
     value.max_header_bytes =
         reader.integer_or("max_header_bytes", 16 << 10, 1024, 256 << 10);
+    value.max_buffered_bytes =
+        reader.integer_or("max_buffered_bytes", 16 << 20, 1 << 20, 1 << 30);
     value.max_connections =
         reader.integer_or("max_connections", 1400, 1, 20'000);
     value.max_in_flight = reader.integer_or("max_in_flight", 2048, 1, 20'000);
@@ -75,6 +77,13 @@
         reader.milliseconds_or("idle_timeout_ms", 60'000, 100, 3'600'000);
     value.receive_timeout =
         reader.milliseconds_or("receive_timeout_ms", 10'000, 100, 300'000);
+    if (value.max_body_bytes > value.max_buffered_bytes)
+    {
+        reader.fail("max_body_bytes",
+                    fmt::format("{} is above max_buffered_bytes, {}",
+                                value.max_body_bytes,
+                                value.max_buffered_bytes));
+    }
     return value;
 }
 
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -60,6 +60,7 @@
 
     ~server_connection()
     {
+        release();
         socket_->disconnect();
         socket_->deleteLater();
         if (exchange_ != 0)
@@ -76,8 +77,15 @@
             return; // Bytes of a later request wait in the socket's buffer.
         }
         active_ = boot_clock::now();
-        buffer_ += socket_->readAll();
-        parse();
+        const QByteArray bytes = socket_->readAll();
+        reserve(static_cast<std::size_t>(bytes.size()));
+        buffer_ += bytes;
+        if (owner_.buffered_ > owner_.limits_.max_buffered_bytes)
+        {
+            reject(service_unavailable, "max-buffered-bytes");
+            return;
+        }
+        parse(); // May end this connection.
     }
 
     void respond(const http_response& response)
@@ -85,6 +93,8 @@
         const bool keep = keep_alive_ && !owner_.draining_;
         exchange_ = 0;
         active_ = boot_clock::now();
+        release();
+        reserve(static_cast<std::size_t>(buffer_.size()));
         socket_->write(serialize(response, keep, to_head_));
         socket_->flush(); // Not with the next turn of the event loop.
         if (!keep)
@@ -187,8 +197,21 @@
         owner_.handler_.on_request(exchange_, std::move(request));
     }
 
+    void reserve(std::size_t bytes)
+    {
+        reserved_ += bytes;
+        owner_.buffered_ += bytes;
+    }
+
+    void release()
+    {
+        owner_.buffered_ -= reserved_;
+        reserved_ = 0;
+    }
+
     void close_after_write()
     {
+        release();
         closing_ = true;
         buffer_.clear();
         socket_->disconnectFromHost();
@@ -199,6 +222,7 @@
     QObject guard_; // Ends callbacks with this object, not with the socket.
     request_parser parser_;
     QByteArray buffer_;
+    std::size_t reserved_{0}; // bytes of the present request
     std::uint64_t exchange_{0};
     bool keep_alive_{true};
     bool to_head_{false};
@@ -267,18 +291,25 @@
 void server::sweep()
 {
     const auto now = boot_clock::now();
-    std::vector<server_connection*> expired;
-    for (const auto& [connection, owned] : connections_)
+    for (auto* connection : all())
     {
-        if (connection->expire(now))
+        // The end of one connection may end others.
+        if (connections_.contains(connection) && connection->expire(now))
         {
-            expired.push_back(connection);
+            remove(connection);
         }
     }
-    for (auto* connection : expired)
+}
+
+std::vector<server_connection*> server::all() const
+{
+    std::vector<server_connection*> result;
+    result.reserve(connections_.size());
+    for (const auto& [connection, owned] : connections_)
     {
-        remove(connection);
+        result.push_back(connection);
     }
+    return result;
 }
 
 void server::remove(server_connection* connection)
@@ -295,12 +326,7 @@
 void server::begin_drain()
 {
     draining_ = true;
-    std::vector<server_connection*> all;
-    for (const auto& [connection, owned] : connections_)
-    {
-        all.push_back(connection);
-    }
-    for (auto* connection : all)
+    for (auto* connection : all())
     {
         if (connections_.contains(connection))
         {
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -177,6 +177,25 @@
     EXPECT_TRUE(answer.contains("max-connections")) << answer.toStdString();
 }
 
+TEST_F(http_server, bytes_of_all_unanswered_requests_are_bounded)
+{
+    limits.max_buffered_bytes = 5000;
+    limits.max_connections = 10;
+    server bounded(limits, handler);
+    address = free_endpoint();
+    ASSERT_TRUE(bounded.listen(address).ok());
+    const QByteArray whole = "POST / HTTP/1.1\r\nContent-Length: 3000\r\n\r\n" +
+                             QByteArray(3000, 'x');
+    auto first = connect(whole);
+    ASSERT_TRUE(wait_for([&] { return handler.requests.size() == 1; }));
+    auto second = connect(whole.first(2900));
+    const auto answer = read_until_closed(*second);
+    EXPECT_TRUE(answer.contains("max-buffered-bytes")) << answer.toStdString();
+    bounded.respond(1, {200, {}, "ok"});
+    auto third = connect(whole);
+    EXPECT_TRUE(wait_for([&] { return handler.requests.size() == 2; }));
+}
+
 TEST_F(http_server, a_body_in_pieces_and_100_continue)
 {
     auto socket = connect("POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
