--- a/include/jujubespan/engine/call_engine.hpp
+++ b/include/jujubespan/engine/call_engine.hpp
@@ -218,7 +218,7 @@
                     const http_request& request);
     void forward(inbound_call&& call, std::optional<ticket> owner,
                  time_point now);
-    void launch(outbound_call call, time_point now);
+    void launch(outbound_call&& call, time_point now);
     bool send_attempt(std::uint64_t id, time_point now);
     bool should_retry(outbound_call& call, const answer& value, time_point now);
     retry_budget& budget_of(outbound_call& call);
--- a/src/jujubespan/engine/call_engine_outbound.cpp
+++ b/src/jujubespan/engine/call_engine_outbound.cpp
@@ -217,7 +217,7 @@
     launch(std::move(out), now);
 }
 
-void call_engine::launch(outbound_call call, time_point now)
+void call_engine::launch(outbound_call&& call, time_point now)
 {
     const std::uint64_t id = next_id_++;
     origins_[{call.origin.port, call.origin.exchange}] = id;
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -167,6 +167,7 @@
 TEST_F(http_server, connections_are_bounded)
 {
     std::vector<std::unique_ptr<QTcpSocket>> held;
+    held.reserve(3);
     for (int i = 0; i < 3; ++i)
     {
         held.push_back(connect("GET /1 HTTP/1.1\r\n\r\n"));
@@ -230,7 +231,8 @@
 class scripted_backend
 {
 public:
-    explicit scripted_backend(std::function<void(QTcpSocket&)> on_request)
+    explicit scripted_backend(
+        const std::function<void(QTcpSocket&)>& on_request)
     {
         app();
         listener.listen(QHostAddress::LocalHost);
@@ -243,7 +245,8 @@
                                  [this, socket, on_request]
                                  {
                                      const auto bytes = socket->readAll();
-                                     received += bytes.count("HTTP/1.1\r\n");
+                                     received += static_cast<int>(
+                                         bytes.count("HTTP/1.1\r\n"));
                                      on_request(*socket);
                                  });
                          });
--- a/src/jujubespan/peer/authenticator.cpp
+++ b/src/jujubespan/peer/authenticator.cpp
@@ -39,14 +39,17 @@
 
 void authenticator::receive()
 {
-    zmq::message_t frame;
-    while (socket_.receive(frame))
+    while (true)
     {
         std::vector<zmq::message_t> request;
-        bool more = frame.more();
-        request.push_back(std::move(frame));
-        while (more && socket_.receive(frame))
+        bool more = true;
+        while (more)
         {
+            zmq::message_t frame;
+            if (!socket_.receive(frame))
+            {
+                return;
+            }
             more = frame.more();
             request.push_back(std::move(frame));
         }
