Remove two members that nothing reads

Cause: the law of the shed level no longer asks whether the queue emptied, and the engine never used its own incarnation. No behaviour changes; no assertion changed (a test set the removed field).

--- a/include/jujubespan/engine/call_engine.hpp
+++ b/include/jujubespan/engine/call_engine.hpp
@@ -252,7 +252,6 @@
     std::shared_ptr<const contract_table> table_;
     bool have_instances_{false};
     bool leaving_{false};
-    std::uint64_t incarnation_;
     std::uint64_t next_id_{1};
     time_point next_housekeeping_{};
     time_point last_closed_{};
--- a/include/jujubespan/policy/shed_level.hpp
+++ b/include/jujubespan/policy/shed_level.hpp
@@ -44,7 +44,6 @@
     double capacity{0};         ///< Calls the slots can finish in it.
     double utilisation{0};      ///< Mean share of slots in use.
     duration oldest_wait{};     ///< Age of the oldest queued call.
-    bool queue_was_empty{true}; ///< The queue emptied in the interval.
 };
 
 /// @brief Chooses the admission level of one node from what it was offered.
--- a/src/jujubespan/engine/admission_gate.cpp
+++ b/src/jujubespan/engine/admission_gate.cpp
@@ -115,7 +115,6 @@
         result.run.push_back(call->id);
     }
     sample_.dropped += static_cast<std::uint32_t>(result.expired.size());
-    sample_.queue_was_empty = sample_.queue_was_empty || queue_.empty();
     return result;
 }
 
@@ -134,7 +133,6 @@
     auto expired = queue_.take_expired(now);
     sample_.dropped += static_cast<std::uint32_t>(expired.size());
     sample_.oldest_wait = queue_.oldest_wait(now);
-    sample_.queue_was_empty = sample_.queue_was_empty || queue_.empty();
     measure_occupancy();
     integrate(now);
     const double slot_seconds = limit(now) * seconds(elapsed);
@@ -150,7 +148,6 @@
         queue_.on_rate(limit(now) / occupancy_, from_seconds(occupancy_));
     }
     sample_ = {};
-    sample_.queue_was_empty = queue_.empty();
     return expired;
 }
 
--- a/src/jujubespan/engine/call_engine.cpp
+++ b/src/jujubespan/engine/call_engine.cpp
@@ -44,8 +44,7 @@
       tickets_(options.id, incarnation, random_key(random_), ticket_options{},
                now),
       decisions_(decision_capacity),
-      table_(std::make_shared<const contract_table>()),
-      incarnation_(incarnation)
+      table_(std::make_shared<const contract_table>())
 {
 }
 
--- a/src/jujubespan/policy/shed_level_test.cpp
+++ b/src/jujubespan/policy/shed_level_test.cpp
@@ -56,7 +56,6 @@
             sample.capacity = capacity;
             sample.utilisation = served / capacity;
             sample.oldest_wait = from_seconds(0.05 * backlog_ / capacity);
-            sample.queue_was_empty = backlog_ == 0;
             controller.update(sample);
         }
         return done / intervals;
