--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -1,9 +1,13 @@
 # jujubespan_module(<name> <dependency>...)
 #
-# Defines the library jujubespan::<name> from src/jujubespan/<name> and, when
-# tests are enabled, one test program from the *_test.cpp files beside them.
+# Defines the library jujubespan::<name> from src/jujubespan/<name>, or from the
+# calling folder when it holds sources, and, when tests are enabled, one test
+# program from the *_test.cpp files beside them.
 function(jujubespan_module name)
   set(dir ${PROJECT_SOURCE_DIR}/src/jujubespan/${name})
+  if(NOT EXISTS ${dir})
+    set(dir ${CMAKE_CURRENT_SOURCE_DIR})
+  endif()
   file(GLOB sources CONFIGURE_DEPENDS ${dir}/*.cpp ${dir}/*.cc)
   set(tests ${sources})
   list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
--- a/include/jujubespan/backend/backend_client.hpp
+++ b/include/jujubespan/backend/backend_client.hpp
@@ -1,7 +1,7 @@
 #ifndef JUJUBESPAN_BACKEND_BACKEND_CLIENT_HPP
 #define JUJUBESPAN_BACKEND_BACKEND_CLIENT_HPP
 
-#include "jujubespan/engine/call_engine.hpp"
+#include "jujubespan/engine/call.hpp"
 #include "jujubespan/http/client.hpp"
 
 namespace jujubespan::backend
@@ -14,8 +14,18 @@
 public:
     explicit backend_client(const config::settings& options);
 
-    /// @brief Sets the engine that receives the ends; call before `start`.
-    void bind(engine::call_engine& calls) { calls_ = &calls; }
+    backend_client(const config::endpoint& address,
+                   const http::client_options& options);
+
+    /// @brief Sets who receives the ends; call before `start`.
+    void bind(engine::backend_events& calls) { calls_ = &calls; }
+
+    /// @brief Sets the most connections that may be open at once.
+    void limit_connections(std::size_t most)
+    {
+        client_.limit_connections(most);
+    }
+    [[nodiscard]] std::uint64_t connects() const { return client_.connects(); }
 
     void start(std::uint64_t call, const http_request& request) override;
     void cancel(std::uint64_t call) override;
@@ -24,7 +34,7 @@
     void on_end(std::uint64_t exchange, http::client_end end,
                 http_response response) override;
 
-    engine::call_engine* calls_{nullptr};
+    engine::backend_events* calls_{nullptr};
     http::client client_;
 };
 
--- a/include/jujubespan/config/settings.hpp
+++ b/include/jujubespan/config/settings.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBESPAN_CONFIG_SETTINGS_HPP
 #define JUJUBESPAN_CONFIG_SETTINGS_HPP
 
+#include "jujubespan/config/endpoint.hpp"
 #include "jujubespan/policy/time.hpp"
 
 #include <absl/status/statusor.h>
@@ -13,18 +14,6 @@
 namespace jujubespan::config
 {
 
-/// @brief An IP number and a port.
-struct endpoint
-{
-    std::string host;
-    std::uint16_t port{0};
-
-    bool operator==(const endpoint&) const = default;
-};
-
-/// @brief Text form, `host:port`.
-std::string to_string(const endpoint& value);
-
 /// @brief A peer to ask before any instance list is known.
 struct seed
 {
--- a/include/jujubespan/engine/admission_gate.hpp
+++ b/include/jujubespan/engine/admission_gate.hpp
@@ -63,6 +63,12 @@
     /// @brief Takes calls off the queue while there is room.
     gate_release release(time_point now);
 
+    /// @brief Replaces the limit, as when the published slots change.
+    void replace_limit(std::unique_ptr<concurrency_limit> limit)
+    {
+        limit_ = std::move(limit);
+    }
+
     /// @brief Removes a queued call.
     bool remove(std::uint64_t id) { return queue_.remove(id); }
 
--- a/include/jujubespan/engine/answer.hpp
+++ b/include/jujubespan/engine/answer.hpp
@@ -57,7 +57,12 @@
     ticket_memory_full,
     repeatable_parent, ///< Not idempotent, below an idempotent request.
     malformed,
-    last = malformed
+    no_route,
+    wrong_instance,  ///< Another backend server has the address.
+    backend_refused, ///< The backend server itself had no room.
+    invalid_answer,  ///< Not the whole answer of the backend server.
+    timeout,         ///< The route's own timeout passed.
+    last = timeout
 };
 
 std::string_view to_string(outcome value);
--- a/include/jujubespan/engine/call.hpp
+++ b/include/jujubespan/engine/call.hpp
@@ -85,6 +85,16 @@
     virtual void cancel(std::uint64_t call) = 0;
 };
 
+/// @brief Receives the ends of exchanges with the backend server.
+class backend_events
+{
+public:
+    virtual ~backend_events() = default;
+
+    virtual void on_backend_end(std::uint64_t call, backend_end end,
+                                http_response response, time_point now) = 0;
+};
+
 /// @brief The nodes of other instances.
 class peer_port
 {
--- a/include/jujubespan/engine/call_engine.hpp
+++ b/include/jujubespan/engine/call_engine.hpp
@@ -35,7 +35,7 @@
 ///
 /// Does no I/O and reads no clock: events come in through `on_...`, effects
 /// go out through the ports. Not thread safe.
-class call_engine
+class call_engine final : public backend_events
 {
 public:
     /// @param incarnation differs at each start of the node.
@@ -77,7 +77,7 @@
 
     /// @brief An exchange with the backend server ended.
     void on_backend_end(std::uint64_t call, backend_end end,
-                        http_response response, time_point now);
+                        http_response response, time_point now) override;
 
     /// @brief Time passes; call about every ten milliseconds.
     void on_tick(time_point now);
--- a/include/jujubespan/http/client.hpp
+++ b/include/jujubespan/http/client.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace jujubespan::http
@@ -24,6 +25,25 @@
     failed       ///< Sent, but no whole response came.
 };
 
+/// @brief How a client treats its connections.
+struct client_options
+{
+    message_limits limits{};
+    std::size_t max_idle{1};
+    std::size_t max_connections{0}; ///< Zero: no bound.
+    /// Longest time that an idle connection is used again. A server that
+    /// names a shorter one is followed.
+    duration idle_time{std::chrono::seconds(1)};
+    /// Header that the server echoes; a response with another value belongs
+    /// to an earlier request and is skipped. Empty: not checked.
+    std::string echo_header{};
+    /// Accept bodies that end with an orderly close of the connection.
+    bool close_delimited{false};
+    /// Ends a connection whose peer acknowledges nothing for this long; zero:
+    /// the system's default.
+    duration silence{};
+};
+
 /// @brief Receives the ends of a client's exchanges.
 class response_handler
 {
@@ -36,12 +56,14 @@
 
 /// @brief HTTP/1.1 client of one server on the event loop of its thread.
 ///
-/// A connection carries one exchange at a time and is kept for a short while.
-/// No request is ever sent twice.
+/// A connection carries one exchange at a time; the one that was idle for the
+/// shortest time is used first. No request is ever sent twice.
 class client
 {
 public:
     /// @param handler outlives the client.
+    client(const config::endpoint& address, const client_options& options,
+           response_handler& handler);
     client(const config::endpoint& address, message_limits limits,
            std::size_t max_idle, response_handler& handler);
     ~client();
@@ -52,8 +74,17 @@
     /// @brief Closes the connection of an exchange; its end is not reported.
     void cancel(std::uint64_t exchange);
 
+    /// @brief Sets the most connections that may be open at once.
+    void limit_connections(std::size_t most)
+    {
+        options_.max_connections = most;
+    }
+
     [[nodiscard]] std::size_t idle() const { return idle_.size(); }
 
+    /// @brief Connections opened since the start.
+    [[nodiscard]] std::uint64_t connects() const { return connects_; }
+
 private:
     friend class client_connection;
 
@@ -61,14 +92,15 @@
              http_response response, bool reusable);
     std::unique_ptr<client_connection> take_idle(time_point now);
     void drop_idle(client_connection* connection);
+    void drop_expired(time_point now);
 
     config::endpoint address_;
-    message_limits limits_;
-    std::size_t max_idle_;
+    client_options options_;
     response_handler& handler_;
+    std::uint64_t connects_{0};
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<client_connection>>
         active_;
-    std::vector<std::unique_ptr<client_connection>> idle_;
+    std::vector<std::unique_ptr<client_connection>> idle_; // oldest first
 };
 
 } // namespace jujubespan::http
--- a/include/jujubespan/http/codec.hpp
+++ b/include/jujubespan/http/codec.hpp
@@ -60,15 +60,24 @@
 {
 public:
     /// @param to_head the request was HEAD, so no body follows.
-    response_parser(message_limits limits, bool to_head);
+    /// @param close_delimited accept a body that ends with its connection.
+    response_parser(message_limits limits, bool to_head,
+                    bool close_delimited = false);
     ~response_parser();
 
     /// @brief Parses from the front of `buffer` and removes what it used.
     ///
-    /// Interim responses are skipped. A response whose end only the close of
-    /// the connection would mark is malformed: it cannot be known to be whole.
+    /// Interim responses are skipped. Unless accepted, a response whose end
+    /// only the close of the connection would mark is malformed: it cannot be
+    /// known to be whole.
     parse_state parse(QByteArray& buffer);
 
+    /// @brief True when only an orderly close ends the response.
+    [[nodiscard]] bool needs_close() const;
+
+    /// @brief The connection was closed in order.
+    parse_state on_close();
+
     /// @brief The response; call once, after `complete`.
     http_response take();
 
--- a/include/jujubespan/http/server.hpp
+++ b/include/jujubespan/http/server.hpp
@@ -50,6 +50,12 @@
     /// @brief Sends the response of an exchange; no effect when it is gone.
     void respond(std::uint64_t exchange, const http_response& response);
 
+    /// @brief Replaces the bounds; requests in progress keep theirs.
+    void set_bounds(const config::bounds& limits) { limits_ = limits; }
+
+    /// @brief Closes each connection after its next response.
+    void announce_close() { draining_ = true; }
+
     /// @brief Closes each connection after its present exchange.
     void begin_drain();
 
--- /dev/null
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -0,0 +1,100 @@
+#ifndef JUJUBESPAN_MESH_BALANCER_HPP
+#define JUJUBESPAN_MESH_BALANCER_HPP
+
+#include "jujubespan/policy/instance.hpp"
+#include "jujubespan/policy/string_map.hpp"
+#include "jujubespan/policy/time.hpp"
+#include "jujubespan/policy/upstream_set.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubespan::mesh
+{
+
+/// @brief How one attempt at an instance ended.
+enum class attempt_end
+{
+    served,
+    full,        ///< Its node or backend server had no room.
+    rejected,    ///< Its backend server refused it though it had room.
+    failed,      ///< It may have run and brought no usable answer.
+    unreachable, ///< Its node cannot be reached.
+    withdrawn    ///< Given up by this node; says nothing about the instance.
+};
+
+/// @brief Chooses among the instances of one service.
+///
+/// The cost of an instance grows with its measured latency, its load and the
+/// share of attempts that fail there. One of a few random candidates with the
+/// least cost is chosen, so that nodes that see the same loads do not all
+/// choose the same instance.
+class balancer
+{
+public:
+    /// @param domain failure domain of this node.
+    explicit balancer(std::string domain) : domain_(std::move(domain)) {}
+
+    /// @brief Replaces the list; what is known of instances that stay is
+    /// kept.
+    void apply(std::span<const instance> list, time_point now);
+
+    /// @param exclude ids already tried for this request.
+    /// @return id of an instance, or nothing when none is usable.
+    std::optional<std::string> pick(std::span<const std::string> exclude,
+                                    std::mt19937_64& random, time_point now);
+
+    void on_start(std::string_view id);
+
+    /// @param latency time that the instance's node held the request; zero
+    /// when it is not known.
+    void on_end(std::string_view id, attempt_end end, duration latency,
+                time_point now);
+
+    void on_load(std::string_view id, upstream_load load, time_point now);
+
+    /// @brief The node of an instance said that it is stopping.
+    void on_leaving(std::string_view id, time_point now);
+
+    [[nodiscard]] std::size_t size() const { return members_.size(); }
+
+    /// @brief Calls in progress at all instances over their limits, as they
+    /// told lately.
+    /// @return nothing when too few told.
+    [[nodiscard]] std::optional<double> pressure(time_point now) const;
+
+private:
+    struct member
+    {
+        instance info;
+        std::uint32_t in_flight{0};
+        upstream_load load;
+        time_point load_at{};
+        double latency{0};  // seconds, smoothed; zero: not known
+        double failures{0}; // share of recent attempts
+        unsigned unreachable{0};
+        time_point avoid_until{};
+        time_point leaving_until{};
+        time_point next_probe{};
+    };
+
+    member* find(std::string_view id);
+    [[nodiscard]] static double load_of(const member& m, time_point now);
+    [[nodiscard]] double cost(const member& m, double best_latency,
+                              time_point now) const;
+    [[nodiscard]] std::vector<member*>
+    usable(std::span<const std::string> exclude, time_point now);
+    static void drop_outliers(std::vector<member*>& pool, time_point now);
+
+    std::string domain_;
+    std::vector<member> members_;
+};
+
+} // namespace jujubespan::mesh
+
+#endif
--- /dev/null
+++ b/include/jujubespan/mesh/egress.hpp
@@ -0,0 +1,148 @@
+#ifndef JUJUBESPAN_MESH_EGRESS_HPP
+#define JUJUBESPAN_MESH_EGRESS_HPP
+
+#include "jujubespan/mesh/balancer.hpp"
+#include "jujubespan/mesh/call.hpp"
+#include "jujubespan/mesh/configuration.hpp"
+#include "jujubespan/mesh/entry_admission.hpp"
+#include "jujubespan/mesh/header_names.hpp"
+#include "jujubespan/mesh/instance_directory.hpp"
+#include "jujubespan/mesh/mesh_metrics.hpp"
+#include "jujubespan/mesh/repeat_allowance.hpp"
+#include "jujubespan/mesh/running_calls.hpp"
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace jujubespan::mesh
+{
+
+/// @brief What the way out of a node shares with its guard.
+struct shared_state
+{
+    running_calls running;
+    entry_admission admission;
+    mesh_metrics metrics;
+};
+
+/// @brief Identity of the node and its part in the fleet.
+struct egress_options
+{
+    std::string service; ///< Of the own backend server.
+    std::string failure_domain;
+    header_names names;
+    repeat_terms repeats;
+    bool fresh_fleet{false};
+};
+
+/// @brief The way out of a node: takes requests of clients and of the own
+/// backend server, routes them, and answers each exactly once.
+///
+/// Does no I/O and reads no clock. Not thread safe.
+class egress
+{
+public:
+    egress(egress_options options, shared_state& shared, client_port& clients,
+           routed_call_port& peers, std::uint64_t seed, time_point now);
+
+    void on_request(std::uint64_t exchange, http_request request,
+                    time_point now);
+
+    /// @brief The sender of a request closed its connection.
+    void on_gone(std::uint64_t exchange, time_point now);
+
+    void on_reply(std::uint64_t call, routed_reply reply, time_point now);
+
+    /// @brief Calls in flight to a node will not be answered.
+    void on_peer_lost(std::string_view peer, time_point now);
+
+    /// @brief A node said that it is stopping.
+    void on_peer_leaving(std::string_view peer, time_point now);
+
+    /// @brief Time passes; call about every ten milliseconds.
+    void on_tick(time_point now);
+
+    void apply(std::shared_ptr<const configuration> next);
+    void apply(const instance_directory& list, time_point now);
+    void apply(const repeat_terms& terms) { allowance_.apply(terms); }
+
+    [[nodiscard]] bool configured() const { return table_.has_value(); }
+    [[nodiscard]] std::uint64_t version() const
+    {
+        return table_ ? table_->version() : 0;
+    }
+    [[nodiscard]] std::size_t in_flight() const { return calls_.size(); }
+
+private:
+    struct open_call
+    {
+        std::uint64_t exchange{0};
+        std::shared_ptr<const configuration> source; // keeps `path` alive
+        const route* path{nullptr};
+        std::string parent; ///< Request id of the running parent.
+        bool child{false};
+        routed_call message;
+        time_point arrived{};
+        time_point answer_by{};
+        bool timeout_is_routes{false};
+        std::vector<std::string> tried;
+        unsigned arrivals{0}; // attempts that may have reached a server
+        bool may_have_run{false};
+        std::string peer; ///< Of the attempt in flight.
+        std::string instance;
+    };
+
+    using call_map = absl::flat_hash_map<std::uint64_t, open_call>;
+
+    std::optional<engine::answer> check(const http_request& request,
+                                        time_point now, open_call& call);
+    void set_times(const http_request& request, time_point now,
+                   open_call& call);
+    bool send(open_call& call, time_point now);
+    void advance(open_call call, const engine::answer& last, time_point now);
+    void launch(open_call call, const engine::answer& none_left,
+                time_point now);
+    void settle(open_call& call, const routed_reply& reply, time_point now);
+    void learn(const open_call& call, const routed_reply& reply,
+               time_point now);
+    void observe_pressure(time_point now);
+    [[nodiscard]] bool may_repeat(open_call& call, const engine::answer& last,
+                                  time_point now);
+    [[nodiscard]] std::vector<service_cost>
+    cost_of(const open_call& call) const;
+    void finish(open_call& call, const engine::answer& last, time_point now);
+    void refuse(const open_call& call, const engine::answer& value);
+    void withdraw(std::uint64_t id, open_call& call, time_point now);
+    [[nodiscard]] open_call take(call_map::iterator found);
+    http_response to_response(const engine::answer& value, const route* path);
+    [[nodiscard]] balancer& balancer_of(std::string_view service);
+
+    egress_options options_;
+    shared_state& shared_;
+    client_port& clients_;
+    routed_call_port& peers_;
+    std::mt19937_64 random_;
+    repeat_allowance allowance_;
+    std::optional<route_table> table_;
+    string_map<balancer> balancers_;
+    string_map<std::string> peer_of_; // call address of an instance
+    route_costs costs_;
+    call_map calls_;
+    time_point next_pressure_{};
+    absl::flat_hash_map<std::uint64_t, std::uint64_t> by_exchange_;
+    absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
+    std::uint64_t next_id_{1};
+};
+
+} // namespace jujubespan::mesh
+
+#endif
--- /dev/null
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -0,0 +1,91 @@
+#ifndef JUJUBESPAN_MESH_ENTRY_ADMISSION_HPP
+#define JUJUBESPAN_MESH_ENTRY_ADMISSION_HPP
+
+#include "jujubespan/mesh/route_costs.hpp"
+#include "jujubespan/policy/request_class.hpp"
+#include "jujubespan/policy/shed_level.hpp"
+#include "jujubespan/policy/string_map.hpp"
+#include "jujubespan/policy/time.hpp"
+
+#include <array>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubespan::mesh
+{
+
+/// @brief Calls in progress over the limits of a service's guards; above one
+/// when calls wait.
+struct service_pressure
+{
+    std::string service;
+    double pressure{0};
+
+    bool operator==(const service_pressure&) const = default;
+};
+
+/// @brief Why a request was not admitted.
+struct admission_refusal
+{
+    std::string service; ///< The one that has no room.
+    double pressure{0};
+    double admitted{0}; ///< Share of the request's class that is admitted.
+};
+
+/// @brief Decides at the entry which requests are admitted, by the pressure
+/// of every service behind their route.
+///
+/// Each service has a share of the offered load that is admitted. It shrinks
+/// while the service's pressure is above its target and grows while it is
+/// below. The share is given to the classes in order, so that a lower class
+/// gets what those above it leave; within a class the position of the request
+/// decides, which is the same for all services.
+class entry_admission
+{
+public:
+    /// @brief Learns the pressure of a service.
+    void on_pressure(std::string_view service, double pressure, time_point now);
+
+    /// @brief Decides on a request and counts it as offered.
+    /// @param costs of the request's route.
+    /// @return the reason when the request is not admitted.
+    std::optional<admission_refusal> check(std::span<const service_cost> costs,
+                                           shed_key key, time_point now);
+
+    /// @brief Adjusts the shares when an interval has passed.
+    void on_tick(time_point now);
+
+    /// @brief Pressures to report to callers, those worth acting on.
+    [[nodiscard]] std::vector<service_pressure> report(time_point now) const;
+
+    /// @brief Share of the offered load of a service that is admitted.
+    [[nodiscard]] double admitted(std::string_view service) const;
+
+    /// @brief Forgets all pressures, as after a pause.
+    void reset();
+
+private:
+    using by_class = std::array<double, request_class_count>;
+
+    struct service_state
+    {
+        double pressure{0};
+        time_point heard{};
+        double admitted{1};
+        by_class offered{}; ///< Slot-seconds in this interval.
+        by_class demand{};  ///< Smoothed.
+    };
+
+    static double share_of(const service_state& state, std::size_t cls);
+    static void adjust(service_state& state, time_point now);
+
+    string_map<service_state> services_;
+    time_point next_{};
+};
+
+} // namespace jujubespan::mesh
+
+#endif
--- /dev/null
+++ b/include/jujubespan/mesh/guard.hpp
@@ -0,0 +1,96 @@
+#ifndef JUJUBESPAN_MESH_GUARD_HPP
+#define JUJUBESPAN_MESH_GUARD_HPP
+
+#include "jujubespan/engine/admission_gate.hpp"
+#include "jujubespan/mesh/call.hpp"
+#include "jujubespan/mesh/egress.hpp"
+#include "jujubespan/mesh/instance_directory.hpp"
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace jujubespan::mesh
+{
+
+/// @brief How the guard treats its backend server.
+struct guard_options
+{
+    std::string service;
+    std::string backend_address; ///< As discovery lists it.
+    header_names names;
+    bool protection{true}; ///< False: everything runs at once.
+    duration queue_wait{std::chrono::milliseconds(100)};
+    std::size_t max_queue{512};
+};
+
+/// @brief The last gate before the own backend server: refuses what must not
+/// or cannot run there, queues and runs the rest, and judges the answers.
+///
+/// Does no I/O and reads no clock. Not thread safe.
+class guard final : public engine::backend_events
+{
+public:
+    guard(guard_options options, shared_state& shared,
+          engine::backend_port& backend, routed_reply_port& replies);
+
+    void on_call(std::uint64_t exchange, routed_call call, time_point now);
+
+    /// @brief The sender of a call gave it up.
+    void on_withdrawn(std::uint64_t exchange, time_point now);
+
+    void on_backend_end(std::uint64_t call, engine::backend_end end,
+                        http_response response, time_point now) override;
+
+    /// @brief Time passes; call about every ten milliseconds.
+    void on_tick(time_point now);
+
+    /// @brief Applies the instance list; the guard keeps a reference to it.
+    void apply(const instance_directory& list, time_point now);
+
+    /// @brief The node is stopping; replies say so from now on.
+    void begin_drain() { leaving_ = true; }
+
+    [[nodiscard]] std::size_t in_flight() const { return calls_.size(); }
+    [[nodiscard]] upstream_load load(time_point now) const;
+
+private:
+    struct open_call
+    {
+        routed_call message;
+        time_point arrived{};
+        time_point started{};
+        bool running{false};
+    };
+
+    using call_map = absl::flat_hash_map<std::uint64_t, open_call>;
+
+    [[nodiscard]] std::optional<engine::reason>
+    reason_to_refuse(const routed_call& call, time_point now) const;
+    void run(std::uint64_t id, time_point now);
+    void pump(time_point now);
+    void refuse(std::uint64_t id, engine::reason why, time_point now);
+    [[nodiscard]] engine::answer judge(http_response response) const;
+    void finish(call_map::iterator found, routed_reply reply, time_point now);
+    void leave_gate(const open_call& call, bool completed, time_point now);
+    void send(std::uint64_t exchange, routed_reply reply, time_point now);
+
+    guard_options options_;
+    shared_state& shared_;
+    engine::backend_port& backend_;
+    routed_reply_port& replies_;
+    engine::admission_gate gate_;
+    const instance_directory* instances_{nullptr};
+    std::uint32_t slots_{0}; ///< Published; zero: not known.
+    bool leaving_{false};
+    call_map calls_; // by exchange
+    absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
+};
+
+} // namespace jujubespan::mesh
+
+#endif
--- /dev/null
+++ b/include/jujubespan/mesh/running_calls.hpp
@@ -0,0 +1,49 @@
+#ifndef JUJUBESPAN_MESH_RUNNING_CALLS_HPP
+#define JUJUBESPAN_MESH_RUNNING_CALLS_HPP
+
+#include "jujubespan/mesh/route_costs.hpp"
+#include "jujubespan/policy/shed_level.hpp"
+#include "jujubespan/policy/string_map.hpp"
+#include "jujubespan/policy/time.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubespan::mesh
+{
+
+/// @brief A request that the own backend server runs.
+struct running_call
+{
+    shed_key key{0};
+    time_point deadline{};
+    std::vector<service_cost> costs; ///< Of its calls so far.
+};
+
+/// @brief The requests that the own backend server runs, by request id.
+///
+/// The id of a call made by a running request is usually that request's id
+/// with a suffix behind a dot. A call without a known parent is treated as a
+/// client's request, so the relation orders and accounts but never decides
+/// whether something may run.
+class running_calls
+{
+public:
+    void begin(std::string_view request_id, running_call call);
+
+    /// @return costs of the calls that the request made.
+    std::vector<service_cost> end(std::string_view request_id);
+
+    /// @brief The running request that made a call; null when not known.
+    [[nodiscard]] running_call* parent_of(std::string_view request_id);
+
+    [[nodiscard]] std::size_t size() const { return calls_.size(); }
+
+private:
+    string_map<running_call> calls_;
+};
+
+} // namespace jujubespan::mesh
+
+#endif
--- a/include/jujubespan/metrics/log.hpp
+++ b/include/jujubespan/metrics/log.hpp
@@ -27,10 +27,11 @@
 /// @brief Sets the least level that is written.
 void set_log_level(log_level level);
 
-/// @brief Writes one line to standard error: time, level, event, fields.
+/// @brief Writes one line to standard output: time, level, event, fields.
 ///
-/// Each event is limited to ten lines a second; the next line that is
-/// written says how many were dropped.
+/// Each event is limited to ten lines a second, and a line is dropped rather
+/// than waiting for a slow reader; the next line of the event that is written
+/// says how many were dropped.
 /// @param event fixed name of what happened, such as `config_rejected`.
 /// @param fields text of the form `key=value key=value`.
 void log_line(log_level level, std::string_view event, std::string_view fields);
--- /dev/null
+++ b/include/jujubespan/node/mesh_node.hpp
@@ -0,0 +1,38 @@
+#ifndef JUJUBESPAN_NODE_MESH_NODE_HPP
+#define JUJUBESPAN_NODE_MESH_NODE_HPP
+
+#include "jujubespan/config/mesh_settings.hpp"
+#include "jujubespan/mesh/discovery.hpp"
+#include "jujubespan/mesh/header_names.hpp"
+
+#include <memory>
+#include <string>
+
+namespace jujubespan::node
+{
+
+/// @brief What differs between the platforms on which a node routes requests.
+class mesh_platform
+{
+public:
+    virtual ~mesh_platform() = default;
+
+    [[nodiscard]] virtual mesh::header_names names() const = 0;
+
+    /// @param handler outlives the source.
+    [[nodiscard]] virtual std::unique_ptr<mesh::discovery>
+    make_discovery(const config::mesh_settings& options,
+                   mesh::discovery_handler& handler) const = 0;
+};
+
+/// @brief Runs one node that routes requests until SIGTERM or SIGINT, then
+/// drains it. SIGHUP and a changed settings file reload the settings.
+/// @return exit code of the process: 0 after a clean stop, 1 when an endpoint
+/// could not be opened.
+int run_mesh_node(const config::mesh_settings& options,
+                  const std::string& settings_file,
+                  const mesh_platform& platform, int& argc, char** argv);
+
+} // namespace jujubespan::node
+
+#endif
--- /dev/null
+++ b/include/jujubespan/node/mesh_report_text.hpp
@@ -0,0 +1,26 @@
+#ifndef JUJUBESPAN_NODE_MESH_REPORT_TEXT_HPP
+#define JUJUBESPAN_NODE_MESH_REPORT_TEXT_HPP
+
+#include "jujubespan/node/mesh_loop.hpp"
+
+#include <string>
+
+namespace jujubespan::node
+{
+
+/// @brief Figures of the control thread.
+struct control_report
+{
+    std::uint64_t discovery_calls{0};
+    std::uint64_t discovery_revision{0};
+    std::size_t instances{0};
+    bool interrupted{false};
+};
+
+/// @brief Prometheus text.
+std::string to_metrics(const mesh_report& traffic,
+                       const control_report& control);
+
+} // namespace jujubespan::node
+
+#endif
--- a/include/jujubespan/peer/call_transport.hpp
+++ b/include/jujubespan/peer/call_transport.hpp
@@ -2,10 +2,9 @@
 #define JUJUBESPAN_PEER_CALL_TRANSPORT_HPP
 
 #include "jujubespan/engine/call_engine.hpp"
+#include "jujubespan/peer/inbound_calls.hpp"
 #include "jujubespan/peer/messenger.hpp"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstdint>
 #include <string>
 
@@ -50,25 +49,12 @@
     {
         return messenger_.connections();
     }
-    [[nodiscard]] std::uint64_t duplicates() const { return duplicates_; }
-
-private:
-    // A call of a peer that has no answer yet.
-    struct exchange_state
+    [[nodiscard]] std::uint64_t duplicates() const
     {
-        route back;
-        std::string peer;
-        std::uint64_t call{0};
-    };
-
-    // What a peer has sent so far; call ids of an incarnation only grow.
-    struct sender_state
-    {
-        std::uint64_t incarnation{0};
-        std::uint64_t last_call{0};
-        route back;
-    };
+        return inbound_.duplicates();
+    }
 
+private:
     void on_message(const v1::Envelope& message, const route& from) override;
     void on_lost(std::string_view peer) override;
     void on_unsent(std::string_view peer, const v1::Envelope& message) override;
@@ -78,11 +64,7 @@
 
     messenger messenger_;
     engine::call_engine* calls_{nullptr};
-    std::uint64_t next_exchange_{1};
-    absl::flat_hash_map<std::uint64_t, exchange_state> exchanges_;
-    string_map<absl::flat_hash_map<std::uint64_t, std::uint64_t>> by_call_;
-    string_map<sender_state> senders_;
-    std::uint64_t duplicates_{0};
+    inbound_calls inbound_;
 };
 
 } // namespace jujubespan::peer
--- a/include/jujubespan/peer/codec.hpp
+++ b/include/jujubespan/peer/codec.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESPAN_PEER_CODEC_HPP
 
 #include "jujubespan/engine/call.hpp"
+#include "jujubespan/mesh/call.hpp"
 #include "jujubespan/policy/versioned_map.hpp"
 
 #include <optional>
@@ -28,6 +29,18 @@
 /// @return empty when a field is out of range.
 std::optional<engine::answer> decode(const v1::Reply& in);
 
+/// @brief Writes a routed call; its deadline becomes the time that remains.
+void encode(const mesh::routed_call& value, time_point now, v1::Call& out);
+
+/// @return empty when a field is out of range.
+std::optional<mesh::routed_call> decode_routed(const v1::Call& in,
+                                               time_point now);
+
+void encode(const mesh::routed_reply& value, v1::Reply& out);
+
+/// @return empty when a field is out of range.
+std::optional<mesh::routed_reply> decode_routed(const v1::Reply& in);
+
 void encode(topic which, const versioned_delta& value, v1::Delta& out);
 versioned_delta decode(const v1::Delta& in);
 
--- a/include/jujubespan/peer/zmq_socket.hpp
+++ b/include/jujubespan/peer/zmq_socket.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESPAN_PEER_ZMQ_SOCKET_HPP
 
 #include "jujubespan/config/settings.hpp"
+#include "jujubespan/policy/time.hpp"
 
 #include <QObject>
 #include <QSocketNotifier>
@@ -47,14 +48,22 @@
     bool scheduled_{false};
 };
 
+/// @brief When a connection whose peer is silent is given up.
+struct link_timing
+{
+    duration heartbeat{std::chrono::seconds(20)};
+    duration timeout{std::chrono::seconds(40)};
+};
+
 /// @brief Sets bounds and, when keys are given, encryption of a socket that
 /// binds.
-void configure_server(zmq::socket_t& socket, const config::peer_keys& keys);
+void configure_server(zmq::socket_t& socket, const config::peer_keys& keys,
+                      const link_timing& timing);
 
 /// @brief Sets bounds and, when keys are given, encryption.
 /// @param server_key public key of the peer to connect to.
 void configure_client(zmq::socket_t& socket, const config::peer_keys& keys,
-                      std::string_view server_key);
+                      std::string_view server_key, const link_timing& timing);
 
 } // namespace jujubespan::peer
 
--- a/include/jujubespan/policy/instance.hpp
+++ b/include/jujubespan/policy/instance.hpp
@@ -1,6 +1,8 @@
 #ifndef JUJUBESPAN_POLICY_INSTANCE_HPP
 #define JUJUBESPAN_POLICY_INSTANCE_HPP
 
+#include "jujubespan/policy/time.hpp"
+
 #include <cstdint>
 #include <string>
 
@@ -19,6 +21,9 @@
     std::string public_key;      ///< Of the node, Z85; empty: no encryption.
     std::uint32_t slots{1};
     bool leaving{false};
+    std::string backend_address; ///< Of the backend server; may be unknown.
+    std::uint64_t lifetime{0};   ///< Differs at each start; zero: unknown.
+    time_point warm_at{};        ///< The backend server is slow until then.
 
     bool operator==(const instance&) const = default;
 };
--- a/src/jujubespan/backend/backend_client.cpp
+++ b/src/jujubespan/backend/backend_client.cpp
@@ -23,9 +23,16 @@
 } // namespace
 
 backend_client::backend_client(const config::settings& options)
-    : client_(options.backend_address,
-              {options.limits.max_header_bytes, options.limits.max_body_bytes},
-              options.slots, *this)
+    : backend_client(options.backend_address,
+                     {.limits = {options.limits.max_header_bytes,
+                                 options.limits.max_body_bytes},
+                      .max_idle = options.slots})
+{
+}
+
+backend_client::backend_client(const config::endpoint& address,
+                               const http::client_options& options)
+    : client_(address, options, *this)
 {
 }
 
--- /dev/null
+++ b/src/jujubespan/config/mesh_settings.cpp
@@ -0,0 +1,68 @@
+#include "jujubespan/config/mesh_settings.hpp"
+
+#include "jujubespan/config/field_readers.hpp"
+#include "jujubespan/config/object_reader.hpp"
+
+namespace jujubespan::config
+{
+
+namespace
+{
+
+constexpr double longest_grace = 600;  // seconds
+constexpr double longest_window = 600; // seconds
+constexpr double highest_ratio = 10;
+constexpr double highest_slack = 1e6;
+
+retry_budget_settings read_retries(object_reader& reader)
+{
+    retry_budget_settings value;
+    value.ratio = reader.number_or("retry_ratio", 0.2, 0, highest_ratio);
+    value.slack = reader.number_or("retry_slack", 10, 0, highest_slack);
+    value.window =
+        from_seconds(reader.number_or("retry_window_s", 10, 1, longest_window));
+    return value;
+}
+
+} // namespace
+
+absl::StatusOr<mesh_settings> parse_mesh_settings(std::string_view text,
+                                                  std::string_view file)
+{
+    diagnostics errors{std::string(file)};
+    const auto document = parse_json(text, errors);
+    if (!document)
+    {
+        return errors.status();
+    }
+    object_reader reader(*document, "", errors);
+    mesh_settings value;
+    value.id = reader.required_string("id");
+    value.service = reader.required_string("service");
+    value.failure_domain = reader.required_string("failure_domain");
+    value.client_address = read_endpoint(reader, "client_address");
+    value.readiness_address = read_endpoint(reader, "readiness_address");
+    value.call_address = read_endpoint(reader, "call_address");
+    value.metrics_address = read_endpoint(reader, "metrics_address");
+    value.backend_address = read_endpoint(reader, "backend_address");
+    value.discovery_address = read_endpoint(reader, "discovery_address");
+    value.first_start = reader.bool_or("first_start", false);
+    value.protection = reader.bool_or("protection", true);
+    value.queue_wait = reader.milliseconds_or("queue_wait_ms", 100, 1, 10'000);
+    value.stop_grace =
+        from_seconds(reader.number_or("stop_grace_s", 6, 1, longest_grace));
+    value.max_buffered_bytes = reader.integer_or(
+        "max_buffered_bytes", 64U << 20U, 1U << 20U, 1U << 30U);
+    value.max_connections =
+        reader.integer_or("max_connections", 1400, 1, 20'000);
+    value.retries = read_retries(reader);
+    value.log_level = read_log_level(reader);
+    reader.finish();
+    if (!errors.ok())
+    {
+        return errors.status();
+    }
+    return value;
+}
+
+} // namespace jujubespan::config
--- a/src/jujubespan/config/settings.cpp
+++ b/src/jujubespan/config/settings.cpp
@@ -1,12 +1,11 @@
 #include "jujubespan/config/settings.hpp"
 
+#include "jujubespan/config/field_readers.hpp"
 #include "jujubespan/config/object_reader.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <fstream>
 #include <sstream>
 
@@ -17,48 +16,6 @@
 {
 
 constexpr std::size_t z85_key_size = 40;
-constexpr std::array<std::string_view, 4> log_levels{"debug", "info", "warn",
-                                                     "error"};
-
-std::optional<endpoint> parse_endpoint(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos || colon == 0)
-    {
-        return std::nullopt;
-    }
-    endpoint value;
-    value.host = text.substr(0, colon);
-    const auto port = text.substr(colon + 1);
-    const char* end = port.data() + port.size();
-    const auto [stop, error] = std::from_chars(port.data(), end, value.port);
-    const bool numeric = std::all_of(value.host.begin(), value.host.end(),
-                                     [](char c)
-                                     {
-                                         return (c >= '0' && c <= '9') ||
-                                                (c >= 'a' && c <= 'f') ||
-                                                c == '.' || c == ':' ||
-                                                c == '[' || c == ']';
-                                     });
-    if (error != std::errc{} || stop != end || value.port == 0 || !numeric)
-    {
-        return std::nullopt;
-    }
-    return value;
-}
-
-endpoint read_endpoint(object_reader& reader, std::string_view key)
-{
-    const auto text = reader.required_string(key);
-    const auto value = parse_endpoint(text);
-    if (!text.empty() && !value)
-    {
-        reader.fail(key, fmt::format("\"{}\" must be an IP number, ':' and a "
-                                     "port of 1 to 65535",
-                                     text));
-    }
-    return value.value_or(endpoint{});
-}
 
 bounds read_bounds(object_reader& reader)
 {
@@ -158,11 +115,6 @@
 
 } // namespace
 
-std::string to_string(const endpoint& value)
-{
-    return fmt::format("{}:{}", value.host, value.port);
-}
-
 absl::StatusOr<settings> parse_settings(std::string_view text,
                                         std::string_view file)
 {
@@ -202,14 +154,7 @@
         reader.milliseconds_or("list_lag_ms", 11'000, 100, 3'600'000);
     value.readers = reader.integer_or("readers", 2, 1, 16);
     value.subset_size = reader.integer_or("subset_size", 8, 2, 256);
-    value.log_level = reader.string_or("log_level", "info");
-    if (std::find(log_levels.begin(), log_levels.end(), value.log_level) ==
-        log_levels.end())
-    {
-        reader.fail("log_level",
-                    fmt::format("\"{}\" is not one of {}", value.log_level,
-                                fmt::join(log_levels, ", ")));
-    }
+    value.log_level = read_log_level(reader);
     value.limits = read_bounds(reader);
     value.keys = read_keys(reader);
     reader.finish();
--- a/src/jujubespan/engine/answer.cpp
+++ b/src/jujubespan/engine/answer.cpp
@@ -43,6 +43,11 @@
     "ticket-memory-full",
     "repeatable-parent",
     "malformed",
+    "no-route",
+    "wrong-instance",
+    "backend-refused",
+    "invalid-answer",
+    "timeout",
 });
 static_assert(reason_names.size() ==
               static_cast<std::size_t>(reason::last) + 1);
--- a/src/jujubespan/engine/http_mapping.cpp
+++ b/src/jujubespan/engine/http_mapping.cpp
@@ -46,6 +46,7 @@
     case reason::unknown_customer:
         return 403;
     case reason::unknown_method:
+    case reason::no_route:
         return 404;
     case reason::internal_method:
         return 403;
@@ -79,7 +80,7 @@
     case outcome::rejected:
         return rejected_status(why);
     case outcome::unknown:
-        return why == reason::deadline ? 504 : 502;
+        return why == reason::deadline || why == reason::timeout ? 504 : 502;
     case outcome::not_run:
         if (why == reason::customer_limit || why == reason::caller_retries)
         {
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -1,11 +1,19 @@
 #include "jujubespan/http/client.hpp"
 
+#include "jujubespan/http/socket_options.hpp"
+
 #include <QHostAddress>
+#include <QSocketNotifier>
 #include <QTcpSocket>
 #include <QTimer>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
 #include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace jujubespan::http
 {
@@ -14,9 +22,30 @@
 {
 
 constexpr auto connect_timeout = std::chrono::seconds(1);
-// Shorter than servers keep idle connections, so that one is rarely reused
-// while its server closes it.
-constexpr duration max_idle_time = std::chrono::seconds(1);
+// A connection is given up this long before its server would close it.
+constexpr duration idle_margin = std::chrono::milliseconds(1500);
+constexpr std::size_t read_size = 16U << 10U;
+
+// Time that the server keeps an idle connection, from `Keep-Alive: timeout=N`.
+std::optional<duration> announced_idle_time(const http_response& response)
+{
+    constexpr std::string_view field = "timeout=";
+    const auto value = find_header(response.headers, "Keep-Alive");
+    const auto at = value.find(field);
+    if (at == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    const auto text = value.substr(at + field.size());
+    unsigned whole = 0;
+    const auto [stop, error] =
+        std::from_chars(text.data(), text.data() + text.size(), whole);
+    if (error != std::errc{})
+    {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(whole);
+}
 
 } // namespace
 
@@ -48,12 +77,25 @@
         socket_->disconnect();
         socket_->abort();
         socket_->deleteLater();
+        if (descriptor_ >= 0)
+        {
+            if (notifier_)
+            {
+                notifier_->setEnabled(false);
+                notifier_.release()->deleteLater();
+            }
+            ::close(descriptor_);
+        }
     }
 
     void start(std::uint64_t exchange, const http_request& request)
     {
         exchange_ = exchange;
-        parser_.emplace(owner_.limits_, request.verb == "HEAD");
+        to_head_ = request.verb == "HEAD";
+        const auto& echo = owner_.options_.echo_header;
+        echo_ = echo.empty() ? std::string_view()
+                             : find_header(request.headers, echo);
+        begin_response();
         bytes_ = serialize(request);
         if (socket_->state() == QAbstractSocket::ConnectedState)
         {
@@ -61,6 +103,7 @@
             return;
         }
         const auto& address = owner_.address_;
+        ++owner_.connects_;
         socket_->connectToHost(
             QHostAddress(QString::fromStdString(address.host)), address.port);
         QTimer::singleShot(connect_timeout, &guard_,
@@ -81,20 +124,30 @@
 
     [[nodiscard]] std::uint64_t exchange() const { return exchange_; }
 
-    void rest(time_point now)
+    void rest(duration lifetime, time_point now)
     {
         exchange_ = 0;
         sent_ = false;
         parser_.reset();
-        idle_since_ = now;
+        usable_until_ = now + lifetime;
     }
 
-    [[nodiscard]] time_point idle_since() const { return idle_since_; }
+    [[nodiscard]] time_point usable_until() const { return usable_until_; }
 
 private:
+    void begin_response()
+    {
+        parser_.emplace(owner_.options_.limits, to_head_,
+                        owner_.options_.close_delimited);
+    }
+
     void on_connected()
     {
-        socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+        disable_delay(*socket_);
+        if (owner_.options_.silence > duration::zero())
+        {
+            detect_silence(*socket_, owner_.options_.silence);
+        }
         if (exchange_ != 0)
         {
             send();
@@ -117,20 +170,106 @@
             return;
         }
         buffer_ += socket_->readAll();
-        switch (parser_->parse(buffer_))
+        parse();
+    }
+
+    void parse()
+    {
+        while (true)
+        {
+            switch (parser_->parse(buffer_))
+            {
+            case parse_state::incomplete:
+                if (parser_->needs_close() && descriptor_ < 0)
+                {
+                    read_until_close();
+                }
+                return;
+            case parse_state::complete:
+                break;
+            default:
+                owner_.end(this, client_end::failed, {}, false);
+                return;
+            }
+            const bool keep_alive = parser_->keep_alive();
+            auto response = parser_->take();
+            if (answers_earlier_request(response) && keep_alive)
+            {
+                poisoned_ = true;
+                begin_response();
+                continue;
+            }
+            finish(std::move(response), keep_alive);
+            return;
+        }
+    }
+
+    [[nodiscard]] bool
+    answers_earlier_request(const http_response& response) const
+    {
+        if (echo_.empty())
+        {
+            return false;
+        }
+        const auto value =
+            find_header(response.headers, owner_.options_.echo_header);
+        return !value.empty() && value != echo_;
+    }
+
+    void finish(http_response response, bool keep_alive)
+    {
+        if (answers_earlier_request(response))
         {
-        case parse_state::incomplete:
+            owner_.end(this, client_end::failed, {}, false);
             return;
-        case parse_state::complete:
+        }
+        // The server may still read the rest of a request that it answered
+        // early, so the connection cannot carry another one.
+        const bool reusable = keep_alive && !poisoned_ && buffer_.isEmpty() &&
+                              socket_->bytesToWrite() == 0;
+        owner_.end(this, client_end::answered, std::move(response), reusable);
+    }
+
+    // QTcpSocket reports a reset like an orderly close, but only the latter
+    // ends a body without a length. Reads the rest from the descriptor itself.
+    void read_until_close()
+    {
+        descriptor_ = ::dup(static_cast<int>(socket_->socketDescriptor()));
+        if (descriptor_ < 0)
         {
-            const bool reusable = parser_->keep_alive() && buffer_.isEmpty();
-            owner_.end(this, client_end::answered, parser_->take(), reusable);
+            owner_.end(this, client_end::failed, {}, false);
             return;
         }
-        default:
+        socket_->disconnect(&guard_);
+        socket_->abort();
+        notifier_ = std::make_unique<QSocketNotifier>(descriptor_,
+                                                      QSocketNotifier::Read);
+        QObject::connect(notifier_.get(), &QSocketNotifier::activated, &guard_,
+                         [this] { read_descriptor(); });
+    }
+
+    void read_descriptor()
+    {
+        std::array<char, read_size> chunk{};
+        const auto received =
+            ::recv(descriptor_, chunk.data(), chunk.size(), MSG_DONTWAIT);
+        if (received > 0)
+        {
+            buffer_.append(chunk.data(), static_cast<qsizetype>(received));
+            parse();
+            return;
+        }
+        if (received < 0 && (errno == EAGAIN || errno == EINTR))
+        {
+            return;
+        }
+        notifier_->setEnabled(false);
+        if (received < 0 || parser_->on_close() != parse_state::complete)
+        {
             owner_.end(this, client_end::failed, {}, false);
             return;
         }
+        finish(parser_->take(), false);
     }
 
     void on_lost()
@@ -151,14 +290,25 @@
     std::optional<response_parser> parser_;
     QByteArray bytes_;
     QByteArray buffer_;
+    std::string echo_; // value that the response must repeat
     std::uint64_t exchange_{0};
+    bool to_head_{false};
     bool sent_{false};
-    time_point idle_since_{};
+    bool poisoned_{false}; // carried a response to an earlier request
+    time_point usable_until_{};
+    int descriptor_{-1}; // while a body ends with the connection
+    std::unique_ptr<QSocketNotifier> notifier_;
 };
 
+client::client(const config::endpoint& address, const client_options& options,
+               response_handler& handler)
+    : address_(address), options_(options), handler_(handler)
+{
+}
+
 client::client(const config::endpoint& address, message_limits limits,
                std::size_t max_idle, response_handler& handler)
-    : address_(address), limits_(limits), max_idle_(max_idle), handler_(handler)
+    : client(address, {.limits = limits, .max_idle = max_idle}, handler)
 {
 }
 
@@ -166,10 +316,19 @@
 
 void client::start(std::uint64_t exchange, const http_request& request)
 {
-    auto connection = take_idle(boot_clock::now());
+    const auto now = boot_clock::now();
+    auto connection = take_idle(now);
     if (!connection)
     {
         connection = std::make_unique<client_connection>(*this);
+        // Makes room among the idle ones; active ones are bounded by the
+        // caller's own limit.
+        const auto open = active_.size() + idle_.size();
+        if (options_.max_connections > 0 && open >= options_.max_connections &&
+            !idle_.empty())
+        {
+            idle_.erase(idle_.begin());
+        }
     }
     auto* started = connection.get();
     active_.emplace(exchange, std::move(connection));
@@ -182,8 +341,7 @@
     {
         auto connection = std::move(idle_.back());
         idle_.pop_back();
-        const bool fresh = now - connection->idle_since() <= max_idle_time;
-        if (fresh && connection->connected())
+        if (now < connection->usable_until() && connection->connected())
         {
             return connection;
         }
@@ -207,9 +365,16 @@
     }
     auto owned = std::move(found->second);
     active_.erase(found);
-    if (reusable && idle_.size() < max_idle_)
+    const auto now = boot_clock::now();
+    drop_expired(now);
+    if (reusable && idle_.size() < options_.max_idle)
     {
-        owned->rest(boot_clock::now());
+        duration lifetime = options_.idle_time;
+        if (const auto announced = announced_idle_time(response))
+        {
+            lifetime = std::min(lifetime, *announced - idle_margin);
+        }
+        owned->rest(lifetime, now);
         idle_.push_back(std::move(owned));
     }
     handler_.on_end(exchange, result, std::move(response));
@@ -221,4 +386,12 @@
                   { return item.get() == connection; });
 }
 
+void client::drop_expired(time_point now)
+{
+    while (!idle_.empty() && now >= idle_.front()->usable_until())
+    {
+        idle_.erase(idle_.begin());
+    }
+}
+
 } // namespace jujubespan::http
--- a/src/jujubespan/http/codec.cpp
+++ b/src/jujubespan/http/codec.cpp
@@ -187,10 +187,14 @@
 
 struct response_parser::state
 {
-    state(message_limits bounds, bool head) : limits(bounds), to_head(head) {}
+    state(message_limits bounds, bool head, bool until_close)
+        : limits(bounds), to_head(head), close_delimited(until_close)
+    {
+    }
 
     message_limits limits;
     bool to_head;
+    bool close_delimited;
     std::optional<parser<false>> target;
     std::string error;
 
@@ -204,8 +208,9 @@
     }
 };
 
-response_parser::response_parser(message_limits limits, bool to_head)
-    : state_(std::make_unique<state>(limits, to_head))
+response_parser::response_parser(message_limits limits, bool to_head,
+                                 bool close_delimited)
+    : state_(std::make_unique<state>(limits, to_head, close_delimited))
 {
     state_->begin();
 }
@@ -224,11 +229,13 @@
             state_->begin();
             continue;
         }
-        const bool unbounded = target.is_header_done() && target.need_eof();
-        if (unbounded && !state_->to_head &&
-            (result == parse_state::complete ||
-             result == parse_state::incomplete))
+        if (needs_close() && (result == parse_state::complete ||
+                              result == parse_state::incomplete))
         {
+            if (state_->close_delimited)
+            {
+                return parse_state::incomplete;
+            }
             state_->error = "response without Content-Length or chunks";
             return parse_state::malformed;
         }
@@ -236,6 +243,25 @@
     }
 }
 
+bool response_parser::needs_close() const
+{
+    const auto& target = *state_->target;
+    return !state_->to_head && target.is_header_done() && target.need_eof();
+}
+
+parse_state response_parser::on_close()
+{
+    beast::error_code error;
+    state_->target->put_eof(error);
+    if (error)
+    {
+        state_->error = error.message();
+        return parse_state::malformed;
+    }
+    return state_->target->is_done() ? parse_state::complete
+                                     : parse_state::malformed;
+}
+
 http_response response_parser::take()
 {
     auto message = state_->target->release();
--- /dev/null
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -0,0 +1,257 @@
+#include "jujubespan/mesh/balancer.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace jujubespan::mesh
+{
+
+namespace
+{
+
+constexpr std::size_t candidates = 3;
+constexpr duration load_lifetime = std::chrono::seconds(1);
+constexpr double latency_weight = 0.1; // of one attempt in the smoothed value
+constexpr double failure_weight = 0.08;
+// An instance that fails this share of its attempts more than the best one is
+// only probed.
+constexpr double outlier_failures = 0.25;
+constexpr duration probe_interval = std::chrono::milliseconds(500);
+// First wait after an unreachable node; doubles up to the longest.
+constexpr duration first_avoidance = std::chrono::milliseconds(200);
+constexpr duration longest_avoidance = std::chrono::seconds(2);
+// A node that stops is back or gone from the list by then.
+constexpr duration leaving_lifetime = std::chrono::seconds(8);
+// Parts of the cost.
+constexpr double idle_cost = 0.1;
+constexpr double nearly_full = 0.8; // load above which room counts most
+constexpr double full_cost = 3;
+constexpr double failure_cost = 4;
+constexpr double other_domain_cost = 0.03;
+constexpr double cold_factor = 2;
+constexpr double spread = 0.1; // random part of a cost
+
+} // namespace
+
+void balancer::apply(std::span<const instance> list, time_point /*now*/)
+{
+    std::vector<member> next;
+    next.reserve(list.size());
+    for (const auto& item : list)
+    {
+        member* known = find(item.id);
+        const bool same = known != nullptr &&
+                          known->info.call_address == item.call_address &&
+                          known->info.lifetime == item.lifetime;
+        if (same)
+        {
+            known->info = item;
+            next.push_back(std::move(*known));
+            continue;
+        }
+        member added;
+        added.info = item;
+        next.push_back(std::move(added));
+    }
+    members_ = std::move(next);
+}
+
+std::vector<balancer::member*>
+balancer::usable(std::span<const std::string> exclude, time_point now)
+{
+    std::vector<member*> pool;
+    for (auto& m : members_)
+    {
+        const bool tried = std::find(exclude.begin(), exclude.end(),
+                                     m.info.id) != exclude.end();
+        if (!tried && !m.info.leaving && now >= m.leaving_until &&
+            now >= m.avoid_until)
+        {
+            pool.push_back(&m);
+        }
+    }
+    return pool;
+}
+
+void balancer::drop_outliers(std::vector<member*>& pool, time_point now)
+{
+    double best = 1;
+    for (const auto* m : pool)
+    {
+        best = std::min(best, m->failures);
+    }
+    const auto outlier = [&](member* m)
+    {
+        if (m->failures <= best + outlier_failures)
+        {
+            return false;
+        }
+        if (now >= m->next_probe)
+        {
+            m->next_probe = now + probe_interval;
+            return false;
+        }
+        return true;
+    };
+    std::erase_if(pool, outlier);
+}
+
+double balancer::load_of(const member& m, time_point now)
+{
+    double used = m.in_flight;
+    double slots = std::max(1U, m.info.slots);
+    if (m.load.limit > 0 && now - m.load_at <= load_lifetime)
+    {
+        used = std::max<double>(used, m.load.in_flight);
+        slots = m.load.limit;
+    }
+    return used / slots;
+}
+
+double balancer::cost(const member& m, double best_latency,
+                      time_point now) const
+{
+    const double load = load_of(m, now) + 1.0 / std::max(1U, m.info.slots);
+    double latency =
+        m.latency > 0 && best_latency > 0 ? m.latency / best_latency : 1;
+    latency *= now < m.info.warm_at ? cold_factor : 1;
+    const double domain =
+        m.info.failure_domain == domain_ ? 0 : other_domain_cost;
+    const double full = full_cost * std::max(0.0, load - nearly_full);
+    return (std::sqrt(latency) + failure_cost * m.failures) *
+               (idle_cost + load) +
+           full + domain;
+}
+
+std::optional<double> balancer::pressure(time_point now) const
+{
+    double used = 0;
+    double limit = 0;
+    std::size_t told = 0;
+    std::size_t usable = 0;
+    for (const auto& m : members_)
+    {
+        if (m.info.leaving)
+        {
+            continue;
+        }
+        ++usable;
+        if (m.load.limit > 0 && now - m.load_at <= load_lifetime)
+        {
+            ++told;
+            used += m.load.in_flight;
+            limit += m.load.limit;
+        }
+    }
+    if (told == 0 || told * 2 < usable)
+    {
+        return std::nullopt;
+    }
+    return used / limit;
+}
+
+std::optional<std::string> balancer::pick(std::span<const std::string> exclude,
+                                          std::mt19937_64& random,
+                                          time_point now)
+{
+    auto pool = usable(exclude, now);
+    drop_outliers(pool, now);
+    if (pool.empty())
+    {
+        return std::nullopt;
+    }
+    double best_latency = 0;
+    for (const auto* m : pool)
+    {
+        if (m->latency > 0)
+        {
+            best_latency = best_latency == 0
+                               ? m->latency
+                               : std::min(best_latency, m->latency);
+        }
+    }
+    std::shuffle(pool.begin(), pool.end(), random);
+    pool.resize(std::min(pool.size(), candidates));
+    std::uniform_real_distribution<double> noise(1 - spread, 1 + spread);
+    member* chosen = nullptr;
+    double least = std::numeric_limits<double>::max();
+    for (auto* m : pool)
+    {
+        const double value = cost(*m, best_latency, now) * noise(random);
+        if (value < least)
+        {
+            least = value;
+            chosen = m;
+        }
+    }
+    return chosen->info.id;
+}
+
+void balancer::on_start(std::string_view id)
+{
+    if (member* m = find(id))
+    {
+        ++m->in_flight;
+    }
+}
+
+void balancer::on_end(std::string_view id, attempt_end end, duration latency,
+                      time_point now)
+{
+    member* m = find(id);
+    if (m == nullptr)
+    {
+        return;
+    }
+    m->in_flight -= m->in_flight > 0 ? 1 : 0;
+    if (end == attempt_end::unreachable)
+    {
+        const auto factor = 1U << std::min(m->unreachable, 4U);
+        m->avoid_until =
+            now + std::min(first_avoidance * factor, longest_avoidance);
+        ++m->unreachable;
+        return;
+    }
+    if (end == attempt_end::withdrawn)
+    {
+        return;
+    }
+    m->unreachable = 0;
+    const bool bad = end == attempt_end::failed || end == attempt_end::rejected;
+    m->failures += failure_weight * ((bad ? 1.0 : 0.0) - m->failures);
+    if (latency > duration::zero() && end == attempt_end::served)
+    {
+        const double value = seconds(latency);
+        m->latency = m->latency == 0
+                         ? value
+                         : m->latency + latency_weight * (value - m->latency);
+    }
+}
+
+void balancer::on_load(std::string_view id, upstream_load load, time_point now)
+{
+    if (member* m = find(id))
+    {
+        m->load = load;
+        m->load_at = now;
+    }
+}
+
+void balancer::on_leaving(std::string_view id, time_point now)
+{
+    if (member* m = find(id))
+    {
+        m->leaving_until = now + leaving_lifetime;
+    }
+}
+
+balancer::member* balancer::find(std::string_view id)
+{
+    const auto found =
+        std::find_if(members_.begin(), members_.end(),
+                     [id](const member& m) { return m.info.id == id; });
+    return found == members_.end() ? nullptr : &*found;
+}
+
+} // namespace jujubespan::mesh
--- /dev/null
+++ b/src/jujubespan/mesh/configuration.cpp
@@ -0,0 +1,80 @@
+#include "jujubespan/mesh/configuration.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace jujubespan::mesh
+{
+
+namespace
+{
+
+std::string host_key(std::string_view host)
+{
+    std::string key(host.substr(0, host.rfind(':')));
+    std::transform(key.begin(), key.end(), key.begin(),
+                   [](unsigned char c)
+                   { return static_cast<char>(std::tolower(c)); });
+    return key;
+}
+
+} // namespace
+
+route_table::route_table(std::shared_ptr<const configuration> source)
+    : source_(std::move(source))
+{
+    for (const auto& item : source_->routes)
+    {
+        by_host_[host_key(item.host)].push_back(&item);
+    }
+    for (auto& [host, routes] : by_host_)
+    {
+        std::stable_sort(routes.begin(), routes.end(),
+                         [](const route* a, const route* b)
+                         { return a->prefix.size() > b->prefix.size(); });
+    }
+}
+
+const route* route_table::find(std::string_view host,
+                               std::string_view path) const
+{
+    const auto routes = by_host_.find(host_key(host));
+    if (routes == by_host_.end())
+    {
+        return nullptr;
+    }
+    const auto found = std::find_if(
+        routes->second.begin(), routes->second.end(),
+        [path](const route* item) { return path.starts_with(item->prefix); });
+    return found == routes->second.end() ? nullptr : *found;
+}
+
+std::string_view route_table::choose_target(const route& which)
+{
+    if (which.targets.size() == 1)
+    {
+        return which.targets.front().service;
+    }
+    auto& credits = credits_[which.name];
+    credits.resize(which.targets.size(), 0);
+    double total = 0;
+    std::size_t best = 0;
+    for (std::size_t i = 0; i < credits.size(); ++i)
+    {
+        credits[i] += which.targets[i].weight;
+        total += which.targets[i].weight;
+        best = credits[i] > credits[best] ? i : best;
+    }
+    credits[best] -= total;
+    return which.targets[best].service;
+}
+
+const service_terms* route_table::terms(std::string_view service) const
+{
+    const auto found = std::find_if(
+        source_->services.begin(), source_->services.end(),
+        [service](const service_terms& item) { return item.name == service; });
+    return found == source_->services.end() ? nullptr : &*found;
+}
+
+} // namespace jujubespan::mesh
--- /dev/null
+++ b/src/jujubespan/mesh/egress.cpp
@@ -0,0 +1,551 @@
+#include "jujubespan/mesh/egress.hpp"
+
+#include "jujubespan/engine/http_mapping.hpp"
+#include "jujubespan/metrics/log.hpp"
+#include "jujubespan/policy/retry_budget.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace jujubespan::mesh
+{
+
+namespace
+{
+
+using engine::answer;
+using engine::outcome;
+using engine::reason;
+
+// Time that a request without one is given.
+constexpr duration default_deadline = std::chrono::seconds(30);
+// Attempts of one request, those that reached no backend server included.
+constexpr std::size_t most_attempts = 4;
+// An attempt with less time than this left is not worth its cost.
+constexpr duration shortest_attempt = std::chrono::milliseconds(20);
+// A refused client is asked back after this part of the objective, so that it
+// can still be answered within it.
+constexpr double return_share = 0.25;
+constexpr duration shortest_return = std::chrono::milliseconds(50);
+constexpr duration longest_return = std::chrono::seconds(1);
+// Part of a repeat's mean cost that is paid, so that dear ones are covered.
+constexpr double cost_margin = 1.2;
+// Share of the slots in use below which a refusal is not for lack of room.
+constexpr double full_share = 0.8;
+
+constexpr duration pressure_interval = std::chrono::milliseconds(20);
+
+constexpr unsigned first_server_error = 500;
+
+// Lower priority numbers are refused later.
+request_class class_of_priority(std::uint32_t priority)
+{
+    const auto index =
+        std::min<std::uint32_t>(priority, request_class_count - 1);
+    return all_request_classes[index];
+}
+
+std::optional<duration> milliseconds_in(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [stop, error] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    constexpr std::uint64_t highest = 3'600'000;
+    if (error != std::errc{} || value > highest)
+    {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(value);
+}
+
+attempt_end end_of(const routed_reply& reply)
+{
+    const auto& value = reply.value;
+    if (value.result == outcome::answered)
+    {
+        return value.response.status < first_server_error ? attempt_end::served
+                                                          : attempt_end::failed;
+    }
+    if (value.result == outcome::unknown)
+    {
+        return value.reason == reason::deadline ? attempt_end::withdrawn
+                                                : attempt_end::failed;
+    }
+    switch (value.reason)
+    {
+    case reason::no_upstream:
+    case reason::backend_unreachable:
+        return attempt_end::unreachable;
+    case reason::backend_refused:
+    {
+        const auto& load = value.load;
+        return load.in_flight < full_share * load.limit ? attempt_end::rejected
+                                                        : attempt_end::full;
+    }
+    default:
+        return attempt_end::full;
+    }
+}
+
+} // namespace
+
+egress::egress(egress_options options, shared_state& shared,
+               client_port& clients, routed_call_port& peers,
+               std::uint64_t seed, time_point now)
+    : options_(std::move(options)), shared_(shared), clients_(clients),
+      peers_(peers), random_(seed),
+      allowance_(options_.repeats, options_.fresh_fleet, now)
+{
+}
+
+void egress::apply(std::shared_ptr<const configuration> next)
+{
+    table_.emplace(std::move(next));
+}
+
+void egress::apply(const instance_directory& list, time_point now)
+{
+    string_map<std::vector<instance>> by_service;
+    peer_of_.clear();
+    const auto all = list.all();
+    for (const auto& item : all)
+    {
+        by_service[item.service].push_back(item);
+        peer_of_[item.id] = item.call_address;
+    }
+    for (auto& [service, known] : balancers_)
+    {
+        by_service.try_emplace(service);
+    }
+    for (const auto& [service, items] : by_service)
+    {
+        balancer_of(service).apply(items, now);
+    }
+    allowance_.on_fleet_size(all.size(), now);
+}
+
+balancer& egress::balancer_of(std::string_view service)
+{
+    return balancers_.try_emplace(std::string(service), options_.failure_domain)
+        .first->second;
+}
+
+void egress::on_request(std::uint64_t exchange, http_request request,
+                        time_point now)
+{
+    open_call call;
+    call.exchange = exchange;
+    call.arrived = now;
+    call.message.request_id =
+        find_header(request.headers, options_.names.request_id);
+    if (auto refused = check(request, now, call))
+    {
+        refuse(call, *refused);
+        return;
+    }
+    call.message.caller_service = options_.service;
+    call.message.request = engine::for_backend(std::move(request));
+    launch(std::move(call), engine::refuse(reason::no_upstream), now);
+}
+
+std::optional<answer> egress::check(const http_request& request, time_point now,
+                                    open_call& call)
+{
+    if (!table_)
+    {
+        return engine::refuse(reason::no_configuration);
+    }
+    call.path = table_->find(find_header(request.headers, "Host"),
+                             path_of(request.target));
+    if (call.path == nullptr)
+    {
+        return engine::reject(reason::no_route);
+    }
+    call.source = table_->source();
+    if (call.message.request_id.empty())
+    {
+        return engine::reject(reason::malformed);
+    }
+    set_times(request, now, call);
+    auto& message = call.message;
+    message.service = table_->choose_target(*call.path);
+    message.route = call.path->name;
+    message.idempotent = call.path->idempotent;
+    const auto* parent = shared_.running.parent_of(message.request_id);
+    call.child = parent != nullptr;
+    if (call.child)
+    {
+        call.parent =
+            message.request_id.substr(0, message.request_id.rfind('.'));
+        message.key = parent->key;
+        message.under_way = true;
+        return std::nullopt;
+    }
+    allowance_.on_client_request(message.service, now);
+    message.key = make_shed_key(class_of_priority(call.path->priority),
+                                message.request_id, 1);
+    const auto refusal =
+        shared_.admission.check(costs_.of(message.route), message.key, now);
+    if (!refusal)
+    {
+        return std::nullopt;
+    }
+    log(log_level::info, "request_shed",
+        "request={} route={} priority={} service={} pressure={:.2f} "
+        "admitted={:.2f}",
+        message.request_id, message.route, call.path->priority,
+        refusal->service, refusal->pressure, refusal->admitted);
+    return engine::refuse(reason::downstream_overload);
+}
+
+void egress::set_times(const http_request& request, time_point now,
+                       open_call& call)
+{
+    const auto given =
+        milliseconds_in(find_header(request.headers, options_.names.deadline));
+    call.answer_by = now + given.value_or(default_deadline);
+    const auto timeout = call.path->timeout;
+    if (timeout > duration::zero() && now + timeout < call.answer_by)
+    {
+        call.answer_by = now + timeout;
+        call.timeout_is_routes = true;
+    }
+    call.message.deadline = call.answer_by;
+}
+
+void egress::launch(open_call call, const answer& none_left, time_point now)
+{
+    while (call.tried.size() < most_attempts)
+    {
+        if (send(call, now))
+        {
+            const std::uint64_t id = call.message.id;
+            by_exchange_[call.exchange] = id;
+            deadlines_.insert({call.answer_by, id});
+            calls_.emplace(id, std::move(call));
+            return;
+        }
+        if (call.instance.empty())
+        {
+            break;
+        }
+    }
+    finish(call, none_left, now);
+}
+
+bool egress::send(open_call& call, time_point now)
+{
+    auto& targets = balancer_of(call.message.service);
+    const auto chosen = targets.pick(call.tried, random_, now);
+    call.instance = chosen.value_or("");
+    if (!chosen)
+    {
+        return false;
+    }
+    call.tried.push_back(*chosen);
+    call.peer = peer_of_[*chosen];
+    call.message.id = next_id_++;
+    call.message.instance = *chosen;
+    ++shared_.metrics.attempts;
+    targets.on_start(*chosen);
+    if (peers_.call(call.peer, call.message, now))
+    {
+        return true;
+    }
+    targets.on_end(*chosen, attempt_end::unreachable, {}, now);
+    return false;
+}
+
+egress::open_call egress::take(call_map::iterator found)
+{
+    open_call call = std::move(found->second);
+    by_exchange_.erase(call.exchange);
+    deadlines_.erase({call.answer_by, found->first});
+    calls_.erase(found);
+    return call;
+}
+
+void egress::on_reply(std::uint64_t id, routed_reply reply, time_point now)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end())
+    {
+        ++shared_.metrics.late_replies;
+        return;
+    }
+    open_call call = take(found);
+    settle(call, reply, now);
+    advance(std::move(call), reply.value, now);
+}
+
+void egress::settle(open_call& call, const routed_reply& reply, time_point now)
+{
+    auto& targets = balancer_of(call.message.service);
+    const auto end = end_of(reply);
+    targets.on_end(call.instance, end, reply.held, now);
+    if (reply.value.load.limit > 0)
+    {
+        targets.on_load(call.instance, reply.value.load, now);
+    }
+    if (reply.value.leaving)
+    {
+        targets.on_leaving(call.instance, now);
+    }
+    if (reply.arrived || reply.value.result == outcome::unknown)
+    {
+        ++call.arrivals;
+    }
+    call.may_have_run = call.may_have_run ||
+                        reply.value.result == outcome::unknown ||
+                        reply.value.result == outcome::answered;
+    learn(call, reply, now);
+}
+
+void egress::learn(const open_call& call, const routed_reply& reply,
+                   time_point now)
+{
+    for (const auto& item : reply.pressures)
+    {
+        shared_.admission.on_pressure(item.service, item.pressure, now);
+    }
+    auto* parent = call.child
+                       ? shared_.running.parent_of(call.message.request_id)
+                       : nullptr;
+    if (parent != nullptr)
+    {
+        for (const auto& item : reply.costs)
+        {
+            add_cost(parent->costs, item);
+        }
+    }
+    if (reply.value.result == outcome::answered)
+    {
+        costs_.learn(call.message.route, reply.costs);
+    }
+}
+
+// The guards of services called from here tell their load with each reply.
+void egress::observe_pressure(time_point now)
+{
+    for (const auto& [service, targets] : balancers_)
+    {
+        if (const auto pressure = targets.pressure(now))
+        {
+            shared_.admission.on_pressure(service, *pressure, now);
+        }
+    }
+}
+
+std::vector<service_cost> egress::cost_of(const open_call& call) const
+{
+    const auto known = costs_.of(call.message.route);
+    if (known.empty())
+    {
+        return {{call.message.service, 1, 0}};
+    }
+    std::vector<service_cost> costs(known.begin(), known.end());
+    for (auto& item : costs)
+    {
+        item.arrivals = item.service == call.message.service
+                            ? std::max(1.0, item.arrivals)
+                            : item.arrivals * cost_margin;
+    }
+    return costs;
+}
+
+bool egress::may_repeat(open_call& call, const answer& last, time_point now)
+{
+    const bool not_run = last.result == outcome::not_run;
+    const bool failed = last.result == outcome::unknown ||
+                        (last.result == outcome::answered &&
+                         last.response.status >= first_server_error);
+    if (!(not_run && last.elsewhere_may_help) &&
+        !(failed && call.message.idempotent))
+    {
+        return false;
+    }
+    if (now + shortest_attempt >= call.answer_by ||
+        call.tried.size() >= most_attempts)
+    {
+        return false;
+    }
+    if (call.arrivals == 0)
+    {
+        ++shared_.metrics.resends;
+        return true;
+    }
+    if (call.arrivals >= call.path->max_attempts)
+    {
+        return false;
+    }
+    if (!allowance_.spend(cost_of(call), now))
+    {
+        ++shared_.metrics.repeats_denied;
+        return false;
+    }
+    ++shared_.metrics.repeats;
+    return true;
+}
+
+void egress::advance(open_call call, const answer& last, time_point now)
+{
+    if (!may_repeat(call, last, now))
+    {
+        finish(call, last, now);
+        return;
+    }
+    log(log_level::info, "request_sent_again",
+        "request={} route={} instance={} outcome={} reason={} tried={}",
+        call.message.request_id, call.message.route, call.instance,
+        to_string(last.result), to_string(last.reason), call.tried.size());
+    launch(std::move(call), last, now);
+}
+
+void egress::on_peer_lost(std::string_view peer, time_point now)
+{
+    std::vector<std::uint64_t> lost;
+    for (const auto& [id, call] : calls_)
+    {
+        if (call.peer == peer)
+        {
+            lost.push_back(id);
+        }
+    }
+    if (!lost.empty())
+    {
+        log(log_level::warn, "calls_lost", "peer={} calls={}", peer,
+            lost.size());
+    }
+    for (const auto id : lost)
+    {
+        routed_reply reply;
+        reply.value = engine::unknown_outcome(reason::peer_lost);
+        on_reply(id, std::move(reply), now);
+    }
+}
+
+void egress::on_peer_leaving(std::string_view peer, time_point now)
+{
+    log(log_level::info, "peer_leaving", "peer={}", peer);
+    for (const auto& [id, address] : peer_of_)
+    {
+        if (address != peer)
+        {
+            continue;
+        }
+        for (auto& [service, targets] : balancers_)
+        {
+            targets.on_leaving(id, now);
+        }
+    }
+}
+
+void egress::on_gone(std::uint64_t exchange, time_point now)
+{
+    const auto known = by_exchange_.find(exchange);
+    if (known == by_exchange_.end())
+    {
+        return;
+    }
+    const std::uint64_t id = known->second;
+    open_call call = take(calls_.find(id));
+    withdraw(id, call, now);
+    ++shared_.metrics.clients_gone;
+    log(log_level::info, "client_gone", "request={} route={} after_ms={}",
+        call.message.request_id, call.message.route,
+        milliseconds(now - call.arrived));
+}
+
+void egress::withdraw(std::uint64_t id, open_call& call, time_point now)
+{
+    peers_.cancel(call.peer, id, now);
+    balancer_of(call.message.service)
+        .on_end(call.instance, attempt_end::withdrawn, {}, now);
+}
+
+void egress::on_tick(time_point now)
+{
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now)
+    {
+        const std::uint64_t id = deadlines_.begin()->second;
+        open_call call = take(calls_.find(id));
+        withdraw(id, call, now);
+        finish(call,
+               engine::unknown_outcome(
+                   call.timeout_is_routes ? reason::timeout : reason::deadline),
+               now);
+    }
+    if (now >= next_pressure_)
+    {
+        next_pressure_ = now + pressure_interval;
+        observe_pressure(now);
+    }
+    shared_.admission.on_tick(now);
+}
+
+void egress::finish(open_call& call, const answer& last, time_point now)
+{
+    // The last attempt was refused, but an earlier one may have run.
+    const bool earlier_ran =
+        last.result == outcome::not_run && call.may_have_run;
+    const answer value =
+        earlier_ran ? engine::unknown_outcome(last.reason) : last;
+    ++shared_.metrics.outcomes[static_cast<std::size_t>(value.result)];
+    ++shared_.metrics.egress_reasons[static_cast<std::size_t>(value.reason)];
+    shared_.metrics.latency[call.path->priority].add(now - call.arrived);
+    const bool good = value.result == outcome::answered &&
+                      value.response.status < first_server_error;
+    log(good ? log_level::debug : log_level::info,
+        good ? "request_answered" : "request_failed",
+        "request={} route={} service={} instance={} version={} outcome={} "
+        "reason={} status={} attempts={} after_ms={}",
+        call.message.request_id, call.message.route, call.message.service,
+        call.instance, version(), to_string(value.result),
+        to_string(value.reason), value.response.status, call.tried.size(),
+        milliseconds(now - call.arrived));
+    clients_.respond(call.exchange, to_response(value, call.path));
+}
+
+void egress::refuse(const open_call& call, const answer& value)
+{
+    ++shared_.metrics.outcomes[static_cast<std::size_t>(value.result)];
+    ++shared_.metrics.egress_reasons[static_cast<std::size_t>(value.reason)];
+    log(log_level::info, "request_refused",
+        "request={} route={} version={} outcome={} reason={}",
+        call.message.request_id,
+        call.path == nullptr ? std::string("-") : call.path->name, version(),
+        to_string(value.result), to_string(value.reason));
+    clients_.respond(call.exchange, to_response(value, call.path));
+}
+
+http_response egress::to_response(const answer& value, const route* path)
+{
+    if (value.result == outcome::answered)
+    {
+        http_response response = value.response;
+        engine::strip_response(response);
+        return response;
+    }
+    http_response response;
+    response.status = engine::status_of(value.result, value.reason);
+    response.headers = {
+        {"Jujubespan-Reason", std::string(to_string(value.reason))}};
+    if (value.result == outcome::not_run)
+    {
+        const double objective =
+            path == nullptr ? 0 : seconds(path->objective) * return_share;
+        const duration base = std::clamp(from_seconds(objective),
+                                         shortest_return, longest_return);
+        const double part =
+            std::uniform_real_distribution<double>(0, 1)(random_);
+        response.headers.push_back(
+            {"Retry-After",
+             fmt::format("{:.3f}", seconds(jittered_retry_after(base, part)))});
+    }
+    return response;
+}
+
+} // namespace jujubespan::mesh
--- /dev/null
+++ b/src/jujubespan/mesh/instance_directory.cpp
@@ -0,0 +1,170 @@
+#include "jujubespan/mesh/instance_directory.hpp"
+
+#include <algorithm>
+
+namespace jujubespan::mesh
+{
+
+namespace
+{
+
+// Entries lapse only when their instances could not renew them for longer
+// than this.
+constexpr duration shortest_lapse = std::chrono::milliseconds(1500);
+// Entries of live instances are back this long after discovery returns.
+constexpr duration removal_hold = std::chrono::milliseconds(2000);
+constexpr std::size_t most_removed = 4096; // ids that are remembered
+
+} // namespace
+
+void instance_directory::put(const instance& item)
+{
+    held_.erase(item.id);
+    const auto removed = removed_.find(item.id);
+    if (removed != removed_.end())
+    {
+        removed_.erase(removed);
+    }
+    instances_[item.id] = item;
+}
+
+void instance_directory::remove(std::string_view id, time_point now)
+{
+    const std::string key(id);
+    if (!instances_.contains(key))
+    {
+        return;
+    }
+    if (holds(now))
+    {
+        held_.try_emplace(key, hold_until_.value_or(now + removal_hold));
+        return;
+    }
+    erase(key);
+}
+
+void instance_directory::keep_only(std::span<const std::string> ids,
+                                   time_point now)
+{
+    std::vector<std::string> gone;
+    for (const auto& [id, item] : instances_)
+    {
+        if (std::find(ids.begin(), ids.end(), id) == ids.end())
+        {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone)
+    {
+        remove(id, now);
+    }
+}
+
+void instance_directory::on_interrupted(time_point now)
+{
+    if (!interrupted_at_)
+    {
+        interrupted_at_ = now;
+    }
+}
+
+void instance_directory::on_restored(time_point now)
+{
+    if (interrupted_at_ && now - *interrupted_at_ >= shortest_lapse)
+    {
+        hold_until_ = now + removal_hold;
+    }
+    interrupted_at_.reset();
+}
+
+bool instance_directory::holds(time_point now) const
+{
+    return interrupted_at_.has_value() || (hold_until_ && now < *hold_until_);
+}
+
+bool instance_directory::expire(time_point now)
+{
+    std::vector<std::string> due;
+    for (const auto& [id, at] : held_)
+    {
+        if (now >= at)
+        {
+            due.push_back(id);
+        }
+    }
+    for (const auto& id : due)
+    {
+        held_.erase(id);
+        erase(id);
+    }
+    return !due.empty();
+}
+
+void instance_directory::erase(const std::string& id)
+{
+    const auto found = instances_.find(id);
+    if (found == instances_.end())
+    {
+        return;
+    }
+    if (removed_.size() >= most_removed)
+    {
+        removed_.clear();
+    }
+    removed_[id] = found->second.lifetime;
+    instances_.erase(found);
+}
+
+instance_state instance_directory::state(std::string_view id) const
+{
+    const auto found = instances_.find(id);
+    if (found != instances_.end())
+    {
+        return found->second.leaving ? instance_state::leaving
+                                     : instance_state::usable;
+    }
+    return removed_.contains(id) ? instance_state::removed
+                                 : instance_state::unknown;
+}
+
+const instance*
+instance_directory::at_address(std::string_view backend_address) const
+{
+    const instance* result = nullptr;
+    for (const auto& [id, item] : instances_)
+    {
+        const bool here = item.backend_address == backend_address;
+        // After a restart under a new id the older entry lingers for a while.
+        if (here && (result == nullptr || item.lifetime > result->lifetime))
+        {
+            result = &item;
+        }
+    }
+    return result;
+}
+
+std::vector<instance> instance_directory::of(std::string_view service) const
+{
+    std::vector<instance> result;
+    for (const auto& [id, item] : instances_)
+    {
+        if (item.service == service)
+        {
+            result.push_back(item);
+        }
+    }
+    return result;
+}
+
+std::vector<instance> instance_directory::all() const
+{
+    std::vector<instance> result;
+    result.reserve(instances_.size());
+    for (const auto& [id, item] : instances_)
+    {
+        result.push_back(item);
+    }
+    return result;
+}
+
+} // namespace jujubespan::mesh
--- /dev/null
+++ b/src/jujubespan/mesh/route_costs.cpp
@@ -0,0 +1,63 @@
+#include "jujubespan/mesh/route_costs.hpp"
+
+#include <algorithm>
+
+namespace jujubespan::mesh
+{
+
+namespace
+{
+
+constexpr double weight = 0.05; // of one request in a mean
+
+service_cost* find(std::span<service_cost> list, std::string_view service)
+{
+    const auto found = std::find_if(list.begin(), list.end(),
+                                    [service](const service_cost& item)
+                                    { return item.service == service; });
+    return found == list.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+void add_cost(std::vector<service_cost>& list, const service_cost& cost)
+{
+    if (service_cost* known = find(list, cost.service))
+    {
+        known->arrivals += cost.arrivals;
+        known->busy += cost.busy;
+        return;
+    }
+    list.push_back(cost);
+}
+
+void route_costs::learn(std::string_view route,
+                        std::span<const service_cost> seen)
+{
+    const auto [entry, added] =
+        costs_.try_emplace(std::string(route), seen.begin(), seen.end());
+    if (added)
+    {
+        return;
+    }
+    auto& costs = entry->second;
+    for (auto& known : costs)
+    {
+        known.arrivals -= weight * known.arrivals;
+        known.busy -= weight * known.busy;
+    }
+    for (const auto& item : seen)
+    {
+        add_cost(costs,
+                 {item.service, weight * item.arrivals, weight * item.busy});
+    }
+}
+
+std::span<const service_cost> route_costs::of(std::string_view route) const
+{
+    const auto found = costs_.find(route);
+    return found == costs_.end() ? std::span<const service_cost>()
+                                 : std::span(found->second);
+}
+
+} // namespace jujubespan::mesh
--- /dev/null
+++ b/src/jujubespan/mesh/running_calls.cpp
@@ -0,0 +1,34 @@
+#include "jujubespan/mesh/running_calls.hpp"
+
+namespace jujubespan::mesh
+{
+
+void running_calls::begin(std::string_view request_id, running_call call)
+{
+    calls_[std::string(request_id)] = std::move(call);
+}
+
+std::vector<service_cost> running_calls::end(std::string_view request_id)
+{
+    const auto found = calls_.find(request_id);
+    if (found == calls_.end())
+    {
+        return {};
+    }
+    auto costs = std::move(found->second.costs);
+    calls_.erase(found);
+    return costs;
+}
+
+running_call* running_calls::parent_of(std::string_view request_id)
+{
+    const auto dot = request_id.rfind('.');
+    if (dot == std::string_view::npos)
+    {
+        return nullptr;
+    }
+    const auto found = calls_.find(request_id.substr(0, dot));
+    return found == calls_.end() ? nullptr : &found->second;
+}
+
+} // namespace jujubespan::mesh
--- a/src/jujubespan/metrics/log.cpp
+++ b/src/jujubespan/metrics/log.cpp
@@ -6,8 +6,9 @@
 
 #include <array>
 #include <atomic>
-#include <cstdio>
 #include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace jujubespan
 {
@@ -18,6 +19,7 @@
 constexpr std::array<std::string_view, 4> level_names{"debug", "info", "warn",
                                                       "error"};
 constexpr unsigned lines_per_second = 10;
+constexpr std::size_t longest_line = 4096; // PIPE_BUF: written whole
 
 struct event_quota
 {
@@ -28,15 +30,33 @@
 
 std::atomic<log_level> least_level{log_level::info};
 
+struct quota_table
+{
+    std::mutex mutex;
+    string_map<event_quota> quotas;
+};
+
+quota_table& quotas()
+{
+    static quota_table table;
+    return table;
+}
+
+void count_dropped(std::string_view event)
+{
+    auto& table = quotas();
+    const std::lock_guard lock(table.mutex);
+    ++table.quotas[std::string(event)].dropped;
+}
+
 // The quota of an event; the number dropped before when a line may be
 // written, nothing when it may not.
 std::optional<unsigned> take_line(std::string_view event)
 {
-    static std::mutex mutex;
-    static string_map<event_quota> quotas;
-    const std::lock_guard lock(mutex);
+    auto& table = quotas();
+    const std::lock_guard lock(table.mutex);
     const auto now = std::chrono::steady_clock::now();
-    auto& quota = quotas[std::string(event)];
+    auto& quota = table.quotas[std::string(event)];
     if (now - quota.second >= std::chrono::seconds(1))
     {
         quota.second = now;
@@ -53,6 +73,24 @@
     return dropped;
 }
 
+// Writes without waiting: a pipe that is ready takes this much at once.
+void write_line(std::string_view event, std::string line)
+{
+    if (line.size() > longest_line)
+    {
+        line.resize(longest_line - 1);
+        line += '\n';
+    }
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    const bool writable = ::poll(&output, 1, 0) == 1 &&
+                          (output.revents & POLLOUT) != 0 &&
+                          ::write(STDOUT_FILENO, line.data(), line.size()) > 0;
+    if (!writable)
+    {
+        count_dropped(event);
+    }
+}
+
 } // namespace
 
 std::optional<log_level> parse_log_level(std::string_view name)
@@ -87,9 +125,10 @@
         std::chrono::system_clock::now());
     const auto suffix =
         *dropped == 0 ? std::string() : fmt::format(" dropped={}", *dropped);
-    fmt::print(stderr, "time={:%FT%T}Z level={} event={} {}{}\n", now,
-               level_names[static_cast<std::size_t>(level)], event, fields,
-               suffix);
+    write_line(event,
+               fmt::format("time={:%FT%T}Z level={} event={} {}{}\n", now,
+                           level_names[static_cast<std::size_t>(level)], event,
+                           fields, suffix));
 }
 
 } // namespace jujubespan
--- /dev/null
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -0,0 +1,140 @@
+#include "jujubespan/node/mesh_report_text.hpp"
+
+#include "jujubespan/metrics/exposition.hpp"
+
+#include <fmt/format.h>
+
+#include <array>
+
+namespace jujubespan::node
+{
+
+namespace
+{
+
+using engine::outcome;
+using engine::reason;
+using metrics::exposition;
+
+constexpr std::array all_outcomes{outcome::answered, outcome::not_run,
+                                  outcome::unknown, outcome::rejected};
+
+void counter(exposition& out, std::string_view name, std::string_view help,
+             double value)
+{
+    out.family(name, "counter", help);
+    out.sample(name, "", value);
+}
+
+void gauge(exposition& out, std::string_view name, std::string_view help,
+           double value)
+{
+    out.family(name, "gauge", help);
+    out.sample(name, "", value);
+}
+
+void reasons(exposition& out, std::string_view name, std::string_view help,
+             std::span<const std::uint64_t> counts)
+{
+    out.family(name, "counter", help);
+    for (std::size_t i = 0; i < counts.size(); ++i)
+    {
+        if (counts[i] > 0)
+        {
+            out.sample(
+                name,
+                metrics::label("reason", to_string(static_cast<reason>(i))),
+                static_cast<double>(counts[i]));
+        }
+    }
+}
+
+void add_requests(exposition& out, const mesh::mesh_metrics& value)
+{
+    out.family("jujubespan_requests_total", "counter",
+               "Requests by their outcome.");
+    for (const auto item : all_outcomes)
+    {
+        out.sample("jujubespan_requests_total",
+                   metrics::label("outcome", to_string(item)),
+                   static_cast<double>(
+                       value.outcomes[static_cast<std::size_t>(item)]));
+    }
+    reasons(out, "jujubespan_egress_results_total",
+            "Requests of clients and the backend server, by reason.",
+            value.egress_reasons);
+    reasons(out, "jujubespan_guard_results_total",
+            "Calls for the own backend server, by reason.",
+            value.guard_reasons);
+    out.family("jujubespan_request_seconds", "histogram",
+               "Latency of requests by priority of their route.");
+    for (const auto& [priority, histogram] : value.latency)
+    {
+        out.histogram("jujubespan_request_seconds",
+                      metrics::label("priority", fmt::format("{}", priority)),
+                      histogram);
+    }
+    out.family("jujubespan_backend_seconds", "histogram",
+               "Time that the own backend server took.");
+    out.histogram("jujubespan_backend_seconds", "", value.backend);
+}
+
+} // namespace
+
+std::string to_metrics(const mesh_report& traffic,
+                       const control_report& control)
+{
+    exposition out;
+    const auto& counts = traffic.metrics;
+    add_requests(out, counts);
+    counter(out, "jujubespan_attempts_total", "Attempts at instances.",
+            static_cast<double>(counts.attempts));
+    counter(out, "jujubespan_repeats_total",
+            "Repeats paid from the retry budget.",
+            static_cast<double>(counts.repeats));
+    counter(out, "jujubespan_repeats_denied_total",
+            "Repeats for which the retry budget had no room.",
+            static_cast<double>(counts.repeats_denied));
+    counter(out, "jujubespan_resends_total",
+            "Requests sent again that had not arrived anywhere.",
+            static_cast<double>(counts.resends));
+    counter(out, "jujubespan_clients_gone_total",
+            "Requests whose sender closed its connection.",
+            static_cast<double>(counts.clients_gone));
+    counter(out, "jujubespan_late_replies_total",
+            "Replies to calls that were given up.",
+            static_cast<double>(counts.late_replies));
+    counter(out, "jujubespan_backend_starts_total",
+            "Requests sent to the own backend server.",
+            static_cast<double>(counts.backend_starts));
+    counter(out, "jujubespan_backend_connects_total",
+            "Connections opened to the own backend server.",
+            static_cast<double>(traffic.backend_connects));
+    counter(out, "jujubespan_peer_sent_bytes_total", "Bytes sent to nodes.",
+            static_cast<double>(traffic.peers.sent_bytes));
+    counter(out, "jujubespan_discovery_calls_total",
+            "Calls to the discovery service.",
+            static_cast<double>(control.discovery_calls));
+    gauge(out, "jujubespan_peer_connections", "Connections to nodes.",
+          static_cast<double>(traffic.peer_connections));
+    gauge(out, "jujubespan_client_connections", "Connections of clients.",
+          static_cast<double>(traffic.client_connections));
+    gauge(out, "jujubespan_running", "Calls running or queued at the guard.",
+          traffic.load.in_flight);
+    gauge(out, "jujubespan_limit", "Concurrency limit of the guard.",
+          traffic.load.limit);
+    gauge(out, "jujubespan_configuration_version", "Version in force.",
+          static_cast<double>(traffic.version));
+    gauge(out, "jujubespan_discovery_revision", "Revision read up to.",
+          static_cast<double>(control.discovery_revision));
+    gauge(out, "jujubespan_instances", "Instances known.",
+          static_cast<double>(control.instances));
+    gauge(out, "jujubespan_discovery_interrupted",
+          "1 while the discovery service cannot be reached.",
+          control.interrupted ? 1 : 0);
+    gauge(out, "jujubespan_ready", "1 while the node takes requests.",
+          traffic.ready ? 1 : 0);
+    return out.text();
+}
+
+} // namespace jujubespan::node
--- a/src/jujubespan/peer/call_transport.cpp
+++ b/src/jujubespan/peer/call_transport.cpp
@@ -46,31 +46,24 @@
 void call_transport::reply(std::uint64_t exchange, const engine::answer& value,
                            std::string_view /*request_id*/)
 {
-    const auto found = exchanges_.find(exchange);
-    if (found == exchanges_.end())
+    const auto ended = inbound_.close(exchange);
+    if (!ended)
     {
         return;
     }
-    const exchange_state state = std::move(found->second);
-    exchanges_.erase(found);
-    const auto calls = by_call_.find(state.peer);
-    if (calls != by_call_.end())
-    {
-        calls->second.erase(state.call);
-    }
     v1::Envelope message;
     encode(value, *message.mutable_reply());
-    message.mutable_reply()->set_id(state.call);
-    messenger_.reply(state.back, state.peer, message);
+    message.mutable_reply()->set_id(ended->call);
+    messenger_.reply(ended->back, ended->peer, message);
 }
 
 void call_transport::announce_leaving()
 {
-    for (const auto& [peer, sender] : senders_)
+    for (const auto& [peer, back] : inbound_.senders())
     {
         v1::Envelope message;
         message.mutable_heartbeat()->set_leaving(true);
-        messenger_.reply(sender.back, peer, message);
+        messenger_.reply(back, peer, message);
     }
 }
 
@@ -104,51 +97,30 @@
     {
         return;
     }
-    auto& sender = senders_[message.from()];
-    if (sender.incarnation != message.from_incarnation())
-    {
-        sender = {message.from_incarnation(), 0, from};
-    }
-    sender.back = from;
-    if (message.call().id() <= sender.last_call)
+    const auto exchange = inbound_.open(
+        message.from(), message.from_incarnation(), message.call().id(), from);
+    if (!exchange)
     {
-        ++duplicates_;
         return;
     }
-    sender.last_call = message.call().id();
     const auto now = boot_clock::now();
     auto call = decode(message.call(), now);
     if (!call)
     {
-        v1::Envelope refusal;
-        encode(engine::refuse(engine::reason::malformed),
-               *refusal.mutable_reply());
-        refusal.mutable_reply()->set_id(message.call().id());
-        messenger_.reply(from, message.from(), refusal);
+        reply(*exchange, engine::refuse(engine::reason::malformed), {});
         return;
     }
-    const std::uint64_t exchange = next_exchange_++;
-    exchanges_[exchange] = {from, message.from(), call->id};
-    by_call_[message.from()][call->id] = exchange;
-    calls_->on_peer_call({this, exchange}, *std::move(call), now);
+    calls_->on_peer_call({this, *exchange}, *std::move(call), now);
 }
 
 void call_transport::on_cancel(const v1::Envelope& message)
 {
-    const auto calls = by_call_.find(message.from());
-    if (calls == by_call_.end())
+    const auto exchange =
+        inbound_.withdraw(message.from(), message.cancel().id());
+    if (exchange)
     {
-        return;
-    }
-    const auto found = calls->second.find(message.cancel().id());
-    if (found == calls->second.end())
-    {
-        return;
+        calls_->on_origin_gone({this, *exchange}, boot_clock::now());
     }
-    const std::uint64_t exchange = found->second;
-    calls->second.erase(found);
-    exchanges_.erase(exchange);
-    calls_->on_origin_gone({this, exchange}, boot_clock::now());
 }
 
 void call_transport::on_reply(const v1::Envelope& message)
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -35,21 +35,24 @@
     return headers;
 }
 
+std::uint64_t remaining_us(time_point deadline, time_point now)
+{
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::microseconds>(deadline - now);
+    return static_cast<std::uint64_t>(
+        std::max<long long>(remaining.count(), 0));
+}
+
 } // namespace
 
 void encode(const engine::peer_call& value, time_point now, v1::Call& out)
 {
     const auto& context = value.context;
-    const auto remaining =
-        std::chrono::duration_cast<std::chrono::microseconds>(context.deadline -
-                                                              now)
-            .count();
     out.set_id(value.id);
     out.set_request_id(context.request_id);
     out.set_customer(context.customer);
     out.set_request_class(static_cast<std::uint32_t>(context.cls));
-    out.set_remaining_us(
-        static_cast<std::uint64_t>(std::max<long long>(remaining, 0)));
+    out.set_remaining_us(remaining_us(context.deadline, now));
     out.set_credits(context.credits);
     out.set_depth(context.depth);
     out.set_idempotent(context.idempotent);
@@ -154,6 +157,96 @@
     return value;
 }
 
+void encode(const mesh::routed_call& value, time_point now, v1::Call& out)
+{
+    out.set_id(value.id);
+    out.set_request_id(value.request_id);
+    out.set_instance(value.instance);
+    out.set_service(value.service);
+    out.set_caller_service(value.caller_service);
+    out.set_route(value.route);
+    out.set_remaining_us(remaining_us(value.deadline, now));
+    out.set_shed_key(value.key);
+    out.set_idempotent(value.idempotent);
+    out.set_under_way(value.under_way);
+    out.set_method(value.request.verb);
+    out.set_target(value.request.target);
+    encode_headers(value.request.headers, out);
+    out.set_body(value.request.body);
+}
+
+std::optional<mesh::routed_call> decode_routed(const v1::Call& in,
+                                               time_point now)
+{
+    if (in.shed_key() >= open_level ||
+        in.remaining_us() > longest_deadline_us || in.target().empty() ||
+        in.method().empty() || in.instance().empty())
+    {
+        return std::nullopt;
+    }
+    mesh::routed_call value;
+    value.id = in.id();
+    value.request_id = in.request_id();
+    value.instance = in.instance();
+    value.service = in.service();
+    value.caller_service = in.caller_service();
+    value.route = in.route();
+    value.deadline = now + std::chrono::microseconds(in.remaining_us());
+    value.key = in.shed_key();
+    value.idempotent = in.idempotent();
+    value.under_way = in.under_way();
+    value.request.verb = in.method();
+    value.request.target = in.target();
+    value.request.headers = decode_headers(in);
+    value.request.body = in.body();
+    return value;
+}
+
+void encode(const mesh::routed_reply& value, v1::Reply& out)
+{
+    encode(value.value, out);
+    out.set_arrived(value.arrived);
+    out.set_held_us(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(value.held)
+            .count()));
+    for (const auto& item : value.costs)
+    {
+        auto* added = out.add_costs();
+        added->set_service(item.service);
+        added->set_arrivals(static_cast<float>(item.arrivals));
+        added->set_busy_seconds(static_cast<float>(item.busy));
+    }
+    for (const auto& item : value.pressures)
+    {
+        auto* added = out.add_pressures();
+        added->set_service(item.service);
+        added->set_pressure(static_cast<float>(item.pressure));
+    }
+}
+
+std::optional<mesh::routed_reply> decode_routed(const v1::Reply& in)
+{
+    auto answer = decode(in);
+    if (!answer)
+    {
+        return std::nullopt;
+    }
+    mesh::routed_reply value;
+    value.value = *std::move(answer);
+    value.arrived = in.arrived();
+    value.held = std::chrono::microseconds(in.held_us());
+    for (const auto& item : in.costs())
+    {
+        value.costs.push_back(
+            {item.service(), item.arrivals(), item.busy_seconds()});
+    }
+    for (const auto& item : in.pressures())
+    {
+        value.pressures.push_back({item.service(), item.pressure()});
+    }
+    return value;
+}
+
 void encode(topic which, const versioned_delta& value, v1::Delta& out)
 {
     out.set_topic(which == topic::contracts ? v1::TOPIC_CONTRACTS
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -65,12 +65,12 @@
 
 messenger::messenger(zmq::context_t& context, std::string self,
                      std::uint64_t incarnation, const config::peer_keys& keys,
-                     message_handler& handler)
+                     message_handler& handler, const link_timing& timing)
     : context_(context), self_(std::move(self)), incarnation_(incarnation),
-      keys_(keys), handler_(handler),
+      keys_(keys), handler_(handler), timing_(timing),
       bound_(context, zmq::socket_type::router, [this] { receive_bound(); })
 {
-    configure_server(bound_.raw(), keys_);
+    configure_server(bound_.raw(), keys_, timing_);
 }
 
 messenger::~messenger() = default;
@@ -136,7 +136,7 @@
     auto created =
         std::make_unique<link>(*this, std::string(peer), ++next_number);
     auto& raw = created->socket.raw();
-    configure_client(raw, keys_, address.public_key);
+    configure_client(raw, keys_, address.public_key, timing_);
     zmq_socket_monitor(raw.handle(), created->monitor_name.c_str(),
                        ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED);
     created->monitor.raw().connect(created->monitor_name);
--- a/src/jujubespan/peer/zmq_socket.cpp
+++ b/src/jujubespan/peer/zmq_socket.cpp
@@ -8,18 +8,23 @@
 
 constexpr int high_water_mark = 1000; // messages
 constexpr std::int64_t max_message_bytes = 20 << 20;
-constexpr int transport_heartbeat = 20'000; // milliseconds
-constexpr int transport_timeout = 40'000;   // milliseconds
-constexpr int reconnect_interval = 50;      // milliseconds
-constexpr int longest_reconnect = 1000;     // milliseconds
+constexpr int connect_timeout = 1000;   // milliseconds
+constexpr int handshake_timeout = 2000; // milliseconds
+constexpr int reconnect_interval = 50;  // milliseconds
+constexpr int longest_reconnect = 1000; // milliseconds
 
-void set_bounds(zmq::socket_t& socket)
+void set_bounds(zmq::socket_t& socket, const link_timing& timing)
 {
     socket.set(zmq::sockopt::sndhwm, high_water_mark);
     socket.set(zmq::sockopt::rcvhwm, high_water_mark);
     socket.set(zmq::sockopt::maxmsgsize, max_message_bytes);
-    socket.set(zmq::sockopt::heartbeat_ivl, transport_heartbeat);
-    socket.set(zmq::sockopt::heartbeat_timeout, transport_timeout);
+    const auto timeout = static_cast<int>(milliseconds(timing.timeout));
+    socket.set(zmq::sockopt::heartbeat_ivl,
+               static_cast<int>(milliseconds(timing.heartbeat)));
+    socket.set(zmq::sockopt::heartbeat_timeout, timeout);
+    socket.set(zmq::sockopt::tcp_maxrt, timeout);
+    socket.set(zmq::sockopt::connect_timeout, connect_timeout);
+    socket.set(zmq::sockopt::handshake_ivl, handshake_timeout);
 }
 
 void set_keys(zmq::socket_t& socket, const config::peer_keys& keys)
@@ -89,9 +94,10 @@
     return socket_.recv(message, zmq::recv_flags::dontwait);
 }
 
-void configure_server(zmq::socket_t& socket, const config::peer_keys& keys)
+void configure_server(zmq::socket_t& socket, const config::peer_keys& keys,
+                      const link_timing& timing)
 {
-    set_bounds(socket);
+    set_bounds(socket, timing);
     socket.set(zmq::sockopt::router_mandatory, true);
     if (keys.enabled())
     {
@@ -101,9 +107,9 @@
 }
 
 void configure_client(zmq::socket_t& socket, const config::peer_keys& keys,
-                      std::string_view server_key)
+                      std::string_view server_key, const link_timing& timing)
 {
-    set_bounds(socket);
+    set_bounds(socket, timing);
     socket.set(zmq::sockopt::immediate, true);
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_interval);
     socket.set(zmq::sockopt::reconnect_ivl_max, longest_reconnect);
