Stopping nodes refuse what is taken late; calls prefer the own failure domain

It now refuses new requests as not run once clients had time to leave.

The balancer probed failing instances only in name and never tried instances of other domains behind a slow near one; both failed a test first.

--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -77,6 +77,7 @@
         time_point load_at{};
         double latency{0};  // seconds, smoothed; zero: not known
         double failures{0}; // share of recent attempts
+        time_point failures_at{};
         unsigned unreachable{0};
         time_point avoid_until{};
         time_point leaving_until{};
@@ -84,12 +85,15 @@
     };
 
     member* find(std::string_view id);
+    [[nodiscard]] static double failures_of(const member& m, time_point now);
     [[nodiscard]] static double load_of(const member& m, time_point now);
-    [[nodiscard]] double cost(const member& m, double best_latency,
+    [[nodiscard]] double cost(const member& m, double reference,
                               time_point now) const;
     [[nodiscard]] std::vector<member*>
     usable(std::span<const std::string> exclude, time_point now);
-    static void drop_outliers(std::vector<member*>& pool, time_point now);
+    /// @return an outlier whose probe is due, which goes before the others.
+    static member* drop_outliers(std::vector<member*>& pool, time_point now);
+    static double best_latency(std::span<member* const> pool);
 
     std::string domain_;
     std::vector<member> members_;
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -75,6 +75,9 @@
     void apply(const instance_directory& list, time_point now);
     void apply(const repeat_terms& terms) { allowance_.apply(terms); }
 
+    /// @brief Refuses new requests as not run; those in flight go on.
+    void stop_taking() { closed_ = true; }
+
     [[nodiscard]] bool configured() const { return table_.has_value(); }
     [[nodiscard]] std::uint64_t version() const
     {
@@ -138,6 +141,7 @@
     route_costs costs_;
     call_map calls_;
     time_point next_pressure_{};
+    bool closed_{false};
     absl::flat_hash_map<std::uint64_t, std::uint64_t> by_exchange_;
     absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
     std::uint64_t next_id_{1};
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -55,6 +55,9 @@
     /// @brief The node is stopping; replies say so from now on.
     void begin_drain() { leaving_ = true; }
 
+    /// @brief Refuses new calls as not run; those in progress go on.
+    void stop_taking() { closed_ = true; }
+
     [[nodiscard]] std::size_t in_flight() const { return calls_.size(); }
     [[nodiscard]] upstream_load load(time_point now) const;
 
@@ -87,6 +90,7 @@
     const instance_directory* instances_{nullptr};
     std::uint32_t slots_{0}; ///< Published; zero: not known.
     bool leaving_{false};
+    bool closed_{false};
     call_map calls_; // by exchange
     absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
 };
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -9,9 +9,12 @@
 #include <QElapsedTimer>
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <QTimer>
 
 #include <functional>
 #include <map>
+#include <sys/socket.h>
+#include <utility>
 
 namespace jujubespan::http
 {
@@ -358,5 +361,133 @@
     EXPECT_FALSE(handler.ends.contains(3));
 }
 
+client_options checked_options()
+{
+    client_options value;
+    value.max_idle = 4;
+    value.echo_header = "Request-Id";
+    value.close_delimited = true;
+    return value;
+}
+
+http_request get_with_id(std::string id)
+{
+    return {"GET", "/", {{"Request-Id", std::move(id)}}, ""};
+}
+
+// Pattern: a second answer to an earlier request arrives where the next
+// answer is expected.
+TEST(http_client, answer_to_an_earlier_request_is_skipped)
+{
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            socket.write("HTTP/1.1 200 OK\r\nRequest-Id: old\r\n"
+                         "Content-Length: 3\r\n\r\nold"
+                         "HTTP/1.1 200 OK\r\nRequest-Id: new\r\n"
+                         "Content-Length: 3\r\n\r\nnew");
+        });
+    recorder handler;
+    client target(backend.endpoint(), checked_options(), handler);
+    target.start(1, get_with_id("new"));
+    ASSERT_TRUE(wait_for([&] { return handler.ends.contains(1); }));
+    EXPECT_EQ(handler.ends[1].first, client_end::answered);
+    EXPECT_EQ(handler.ends[1].second.body, "new");
+    EXPECT_EQ(target.idle(), 0U) << "carries answers out of step";
+}
+
+TEST(http_client, last_answer_to_an_earlier_request_is_a_failure)
+{
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            socket.write("HTTP/1.1 200 OK\r\nRequest-Id: old\r\n"
+                         "Connection: close\r\nContent-Length: 3\r\n\r\nold");
+            socket.disconnectFromHost();
+        });
+    recorder handler;
+    client target(backend.endpoint(), checked_options(), handler);
+    target.start(1, get_with_id("new"));
+    ASSERT_TRUE(wait_for([&] { return handler.ends.contains(1); }));
+    EXPECT_EQ(handler.ends[1].first, client_end::failed);
+}
+
+TEST(http_client, body_may_end_with_an_orderly_close)
+{
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            socket.write("HTTP/1.1 200 OK\r\n\r\nwhole body");
+            socket.disconnectFromHost();
+        });
+    recorder handler;
+    client target(backend.endpoint(), checked_options(), handler);
+    target.start(1, get_with_id("1"));
+    ASSERT_TRUE(wait_for([&] { return handler.ends.contains(1); }));
+    EXPECT_EQ(handler.ends[1].first, client_end::answered);
+    EXPECT_EQ(handler.ends[1].second.body, "whole body");
+}
+
+// Pattern: the connection is reset in the middle of a body without a length.
+TEST(http_client, body_does_not_end_with_a_reset)
+{
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            socket.write("HTTP/1.1 200 OK\r\n\r\nhalf");
+            socket.flush();
+            const linger reset{1, 0};
+            setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
+                       SO_LINGER, &reset, sizeof reset);
+            QTimer::singleShot(50, &socket, [&socket] { socket.abort(); });
+        });
+    recorder handler;
+    client target(backend.endpoint(), checked_options(), handler);
+    target.start(1, get_with_id("1"));
+    ASSERT_TRUE(wait_for([&] { return handler.ends.contains(1); }));
+    EXPECT_EQ(handler.ends[1].first, client_end::failed);
+}
+
+TEST(http_client, idle_connection_is_not_used_beyond_the_announced_time)
+{
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            socket.write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\n"
+                         "Content-Length: 2\r\n\r\nok");
+        });
+    recorder handler;
+    client target(backend.endpoint(), checked_options(), handler);
+    for (std::uint64_t i = 1; i <= 2; ++i)
+    {
+        target.start(i, get_with_id("1"));
+        ASSERT_TRUE(wait_for([&] { return handler.ends.contains(i); }));
+    }
+    EXPECT_EQ(target.connects(), 2U);
+}
+
+// Pattern: a server answers before it has read a long body and reads on.
+TEST(http_client, connection_with_an_unsent_body_is_not_used_again)
+{
+    bool answered = false;
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            if (!std::exchange(answered, true))
+            {
+                socket.write("HTTP/1.1 413 Too Large\r\n"
+                             "Content-Length: 0\r\n\r\n");
+                socket.flush();
+                socket.setReadBufferSize(1);
+            }
+        });
+    recorder handler;
+    client target(backend.endpoint(), checked_options(), handler);
+    target.start(1, {"POST", "/", {}, std::string(32U << 20U, 'x')});
+    ASSERT_TRUE(wait_for([&] { return handler.ends.contains(1); }));
+    EXPECT_EQ(handler.ends[1].second.status, 413U);
+    EXPECT_EQ(target.idle(), 0U);
+}
+
 } // namespace
 } // namespace jujubespan::http
--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -14,6 +14,8 @@
 constexpr duration load_lifetime = std::chrono::seconds(1);
 constexpr double latency_weight = 0.1; // of one attempt in the smoothed value
 constexpr double failure_weight = 0.08;
+// Without attempts, failures are forgotten over this time.
+constexpr duration failure_memory = std::chrono::seconds(4);
 // An instance that fails this share of its attempts more than the best one is
 // only probed.
 constexpr double outlier_failures = 0.25;
@@ -28,9 +30,10 @@
 constexpr double nearly_full = 0.8; // load above which room counts most
 constexpr double full_cost = 3;
 constexpr double failure_cost = 4;
-constexpr double other_domain_cost = 0.03;
+constexpr double other_domain_cost = 0.12;
 constexpr double cold_factor = 2;
-constexpr double spread = 0.1; // random part of a cost
+constexpr double unknown_latency = 0.5; // part of the best known one
+constexpr double spread = 0.1;          // random part of a cost
 
 } // namespace
 
@@ -74,27 +77,48 @@
     return pool;
 }
 
-void balancer::drop_outliers(std::vector<member*>& pool, time_point now)
+balancer::member* balancer::drop_outliers(std::vector<member*>& pool,
+                                          time_point now)
 {
     double best = 1;
     for (const auto* m : pool)
     {
-        best = std::min(best, m->failures);
+        best = std::min(best, failures_of(*m, now));
     }
-    const auto outlier = [&](member* m)
+    const auto outlier = [best, now](const member* m)
+    { return failures_of(*m, now) > best + outlier_failures; };
+    for (auto* m : pool)
     {
-        if (m->failures <= best + outlier_failures)
-        {
-            return false;
-        }
-        if (now >= m->next_probe)
+        if (outlier(m) && now >= m->next_probe)
         {
             m->next_probe = now + probe_interval;
-            return false;
+            return m;
         }
-        return true;
-    };
+    }
     std::erase_if(pool, outlier);
+    return nullptr;
+}
+
+double balancer::best_latency(std::span<member* const> pool)
+{
+    double best = 0;
+    bool all_known = true;
+    for (const auto* m : pool)
+    {
+        all_known = all_known && m->latency > 0;
+        if (m->latency > 0)
+        {
+            best = best == 0 ? m->latency : std::min(best, m->latency);
+        }
+    }
+    // An instance that was not used yet may be faster than all others.
+    return all_known ? best : best * unknown_latency;
+}
+
+double balancer::failures_of(const member& m, time_point now)
+{
+    return m.failures *
+           std::exp(-seconds(now - m.failures_at) / seconds(failure_memory));
 }
 
 double balancer::load_of(const member& m, time_point now)
@@ -109,17 +133,15 @@
     return used / slots;
 }
 
-double balancer::cost(const member& m, double best_latency,
-                      time_point now) const
+double balancer::cost(const member& m, double reference, time_point now) const
 {
     const double load = load_of(m, now) + 1.0 / std::max(1U, m.info.slots);
-    double latency =
-        m.latency > 0 && best_latency > 0 ? m.latency / best_latency : 1;
+    double latency = m.latency > 0 && reference > 0 ? m.latency / reference : 1;
     latency *= now < m.info.warm_at ? cold_factor : 1;
-    const double domain =
-        m.info.failure_domain == domain_ ? 0 : other_domain_cost;
+    const bool near = m.info.failure_domain == domain_ || m.latency == 0;
+    const double domain = near ? 0 : other_domain_cost;
     const double full = full_cost * std::max(0.0, load - nearly_full);
-    return (std::sqrt(latency) + failure_cost * m.failures) *
+    return (std::sqrt(latency) + failure_cost * failures_of(m, now)) *
                (idle_cost + load) +
            full + domain;
 }
@@ -156,21 +178,15 @@
                                           time_point now)
 {
     auto pool = usable(exclude, now);
-    drop_outliers(pool, now);
-    if (pool.empty())
+    if (const auto* probed = drop_outliers(pool, now))
     {
-        return std::nullopt;
+        return probed->info.id;
     }
-    double best_latency = 0;
-    for (const auto* m : pool)
+    if (pool.empty())
     {
-        if (m->latency > 0)
-        {
-            best_latency = best_latency == 0
-                               ? m->latency
-                               : std::min(best_latency, m->latency);
-        }
+        return std::nullopt;
     }
+    const double reference = best_latency(pool);
     std::shuffle(pool.begin(), pool.end(), random);
     pool.resize(std::min(pool.size(), candidates));
     std::uniform_real_distribution<double> noise(1 - spread, 1 + spread);
@@ -178,7 +194,7 @@
     double least = std::numeric_limits<double>::max();
     for (auto* m : pool)
     {
-        const double value = cost(*m, best_latency, now) * noise(random);
+        const double value = cost(*m, reference, now) * noise(random);
         if (value < least)
         {
             least = value;
@@ -219,7 +235,9 @@
     }
     m->unreachable = 0;
     const bool bad = end == attempt_end::failed || end == attempt_end::rejected;
-    m->failures += failure_weight * ((bad ? 1.0 : 0.0) - m->failures);
+    const double before = failures_of(*m, now);
+    m->failures = before + failure_weight * ((bad ? 1.0 : 0.0) - before);
+    m->failures_at = now;
     if (latency > duration::zero() && end == attempt_end::served)
     {
         const double value = seconds(latency);
--- /dev/null
+++ b/src/jujubespan/mesh/balancer_test.cpp
@@ -0,0 +1,193 @@
+// Where calls go: by load, latency, failures and failure domain.
+
+#include "jujubespan/mesh/balancer.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace jujubespan::mesh
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start{1000s};
+
+instance make_instance(std::string id, std::string domain,
+                       std::uint32_t slots = 50)
+{
+    instance value;
+    value.id = std::move(id);
+    value.service = "s";
+    value.failure_domain = std::move(domain);
+    value.call_address = "10.0.0.1:7000";
+    value.slots = slots;
+    value.lifetime = 1;
+    return value;
+}
+
+class balancing : public ::testing::Test
+{
+protected:
+    balancing()
+    {
+        list = {make_instance("a", "zone-a"), make_instance("b", "zone-b"),
+                make_instance("c", "zone-c")};
+        target.apply(list, start);
+    }
+
+    // Sends calls that end at once; counts them by instance.
+    std::map<std::string, int>
+    send(int calls, const std::map<std::string, attempt_end>& ends = {},
+         const std::map<std::string, duration>& latencies = {})
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < calls; ++i)
+        {
+            now += 5ms;
+            const auto chosen = target.pick({}, random, now);
+            if (!chosen)
+            {
+                ++counts["none"];
+                continue;
+            }
+            ++counts[*chosen];
+            target.on_start(*chosen);
+            const auto end = ends.find(*chosen);
+            const auto latency = latencies.find(*chosen);
+            target.on_end(
+                *chosen, end == ends.end() ? attempt_end::served : end->second,
+                latency == latencies.end() ? duration(20ms) : latency->second,
+                now);
+        }
+        return counts;
+    }
+
+    void tell(const std::string& id, std::uint32_t in_flight)
+    {
+        target.on_load(id, {in_flight, 50}, now);
+    }
+
+    std::vector<instance> list;
+    balancer target{"zone-a"};
+    std::mt19937_64 random{3};
+    time_point now{start};
+};
+
+TEST_F(balancing, own_failure_domain_first_while_idle)
+{
+    const auto counts = send(300);
+    EXPECT_GT(counts.at("a"), 200);
+}
+
+TEST_F(balancing, load_goes_before_failure_domain)
+{
+    tell("a", 45);
+    tell("b", 10);
+    tell("c", 10);
+    auto counts = send(100);
+    EXPECT_EQ(counts["a"], 0);
+}
+
+// Pattern: one server answers quickly but fails most requests.
+TEST_F(balancing, failing_instance_is_only_probed)
+{
+    send(100, {{"a", attempt_end::failed}});
+    const auto counts = send(400, {{"a", attempt_end::failed}});
+    const int probes = counts.contains("a") ? counts.at("a") : 0;
+    EXPECT_LE(probes, 8) << "in two seconds";
+    EXPECT_GE(probes, 2);
+}
+
+TEST_F(balancing, instance_that_recovers_is_used_again)
+{
+    send(200, {{"a", attempt_end::failed}});
+    send(8000);
+    EXPECT_GT(send(300)["a"], 100);
+}
+
+// Pattern: all servers of a service fail part of their requests.
+TEST_F(balancing, no_instance_is_shunned_when_all_fail_alike)
+{
+    const auto counts = send(600, {{"a", attempt_end::failed},
+                                   {"b", attempt_end::failed},
+                                   {"c", attempt_end::failed}});
+    EXPECT_FALSE(counts.contains("none"));
+    EXPECT_GT(counts.at("a"), 50);
+}
+
+// Pattern: one server turns five times slower.
+TEST_F(balancing, slow_instance_gets_less)
+{
+    const std::map<std::string, duration> latencies{
+        {"a", 500ms}, {"b", 20ms}, {"c", 20ms}};
+    send(200, {}, latencies);
+    EXPECT_LT(send(300, {}, latencies)["a"], 60);
+}
+
+TEST_F(balancing, unreachable_instance_is_avoided_then_tried)
+{
+    target.on_end("a", attempt_end::unreachable, {}, now);
+    EXPECT_EQ(send(30)["a"], 0);
+    now += 1s;
+    EXPECT_GT(send(30)["a"], 0);
+}
+
+TEST_F(balancing, leaving_instance_gets_nothing)
+{
+    list[0].leaving = true;
+    target.apply(list, now);
+    EXPECT_EQ(send(100)["a"], 0);
+}
+
+TEST_F(balancing, joined_instance_gets_requests)
+{
+    send(200);
+    list.push_back(make_instance("d", "zone-a"));
+    target.apply(list, now);
+    EXPECT_GT(send(100)["d"], 10);
+}
+
+TEST_F(balancing, tried_instances_are_left_out)
+{
+    const std::vector<std::string> tried{"a", "b"};
+    for (int i = 0; i < 20; ++i)
+    {
+        EXPECT_EQ(target.pick(tried, random, now), "c");
+    }
+    const std::vector<std::string> all{"a", "b", "c"};
+    EXPECT_EQ(target.pick(all, random, now), std::nullopt);
+}
+
+TEST_F(balancing, pressure_is_known_once_half_of_the_instances_told)
+{
+    tell("a", 25);
+    EXPECT_EQ(target.pressure(now), std::nullopt);
+    tell("b", 50);
+    ASSERT_TRUE(target.pressure(now).has_value());
+    EXPECT_DOUBLE_EQ(*target.pressure(now), 0.75);
+    EXPECT_EQ(target.pressure(now + 2s), std::nullopt);
+}
+
+// Pattern: a service near its capacity, many nodes with the same view.
+TEST_F(balancing, loads_even_out_under_pressure)
+{
+    std::map<std::string, std::uint32_t> running;
+    for (int i = 0; i < 135; ++i)
+    {
+        const auto chosen = target.pick({}, random, now);
+        ASSERT_TRUE(chosen.has_value());
+        ++running[*chosen];
+        target.on_start(*chosen);
+        tell(*chosen, running[*chosen]);
+    }
+    for (const auto& [id, count] : running)
+    {
+        EXPECT_LE(count, 50U) << id;
+    }
+}
+
+} // namespace
+} // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -169,6 +169,10 @@
     {
         return engine::reject(reason::malformed);
     }
+    if (closed_)
+    {
+        return engine::refuse(reason::leaving);
+    }
     set_times(request, now, call);
     auto& message = call.message;
     message.service = table_->choose_target(*call.path);
--- /dev/null
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -0,0 +1,329 @@
+// The way out: routes, refusals, repeats and what each answer promises.
+
+#include "jujubespan/mesh/egress.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace jujubespan::mesh
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using engine::outcome;
+using engine::reason;
+
+const time_point start{1000s};
+
+class recording_clients final : public client_port
+{
+public:
+    void respond(std::uint64_t exchange, const http_response& response) override
+    {
+        EXPECT_FALSE(responses.contains(exchange)) << "answered twice";
+        responses[exchange] = response;
+    }
+
+    std::map<std::uint64_t, http_response> responses;
+};
+
+class recording_peers final : public routed_call_port
+{
+public:
+    bool call(std::string_view peer, const routed_call& value,
+              time_point /*now*/) override
+    {
+        if (peer == down)
+        {
+            return false;
+        }
+        calls.push_back(value);
+        return true;
+    }
+
+    void cancel(std::string_view /*peer*/, std::uint64_t call,
+                time_point /*now*/) override
+    {
+        cancelled.push_back(call);
+    }
+
+    std::string down;
+    std::vector<routed_call> calls;
+    std::vector<std::uint64_t> cancelled;
+};
+
+route make_route(std::string name, std::string prefix, bool idempotent)
+{
+    route value;
+    value.name = std::move(name);
+    value.host = "shop.example";
+    value.prefix = std::move(prefix);
+    value.idempotent = idempotent;
+    value.timeout = 800ms;
+    value.objective = 1s;
+    value.max_attempts = 2;
+    value.targets = {{"s", 1}};
+    return value;
+}
+
+class way_out : public ::testing::Test
+{
+protected:
+    way_out()
+    {
+        for (const auto* id : {"a", "b", "c"})
+        {
+            instance item;
+            item.id = id;
+            item.service = "s";
+            item.failure_domain = "zone-a";
+            item.call_address = std::string("node-") + id;
+            item.slots = 50;
+            directory.put(item);
+        }
+    }
+
+    void configure()
+    {
+        auto next = std::make_shared<configuration>();
+        next->version = 1;
+        next->routes = {make_route("read", "/read/", true),
+                        make_route("pay", "/pay/", false)};
+        target.apply(std::move(next));
+        target.apply(directory, now);
+    }
+
+    void request(std::uint64_t exchange, const std::string& path,
+                 const std::string& id = "id-1",
+                 const std::string& deadline = "5000")
+    {
+        http_request message;
+        message.verb = "GET";
+        message.target = path;
+        message.headers = {{"Host", "shop.example"},
+                           {options.names.request_id, id},
+                           {options.names.deadline, deadline}};
+        target.on_request(exchange, std::move(message), now);
+    }
+
+    void reply(const engine::answer& value, bool arrived = true)
+    {
+        routed_reply message;
+        message.value = value;
+        message.arrived = arrived;
+        target.on_reply(peers.calls.back().id, std::move(message), now);
+    }
+
+    static engine::answer answered(unsigned status)
+    {
+        engine::answer value;
+        value.response.status = status;
+        value.response.body = "body";
+        return value;
+    }
+
+    [[nodiscard]] unsigned status(std::uint64_t exchange = 1) const
+    {
+        const auto found = clients.responses.find(exchange);
+        return found == clients.responses.end() ? 0 : found->second.status;
+    }
+
+    time_point now{start};
+    shared_state shared;
+    recording_clients clients;
+    recording_peers peers;
+    instance_directory directory;
+    egress_options options{"own", "zone-a", {}, {0.2, 49, 10s}, true};
+    egress target{options, shared, clients, peers, 1, start};
+};
+
+TEST_F(way_out, without_configuration_requests_are_refused_as_not_run)
+{
+    request(1, "/read/1");
+    EXPECT_EQ(status(), 503U);
+    EXPECT_FALSE(
+        find_header(clients.responses[1].headers, "Retry-After").empty());
+}
+
+TEST_F(way_out, unknown_route_is_not_found)
+{
+    configure();
+    request(1, "/other/1");
+    EXPECT_EQ(status(), 404U);
+}
+
+TEST_F(way_out, call_names_instance_caller_and_remaining_time)
+{
+    configure();
+    request(1, "/read/1", "id-1", "300");
+    ASSERT_EQ(peers.calls.size(), 1U);
+    EXPECT_EQ(peers.calls[0].caller_service, "own");
+    EXPECT_EQ(peers.calls[0].deadline, now + 300ms);
+    EXPECT_FALSE(peers.calls[0].instance.empty());
+    reply(answered(200));
+    EXPECT_EQ(status(), 200U);
+}
+
+TEST_F(way_out, request_is_answered_at_its_routes_timeout)
+{
+    configure();
+    request(1, "/pay/1");
+    now += 799ms;
+    target.on_tick(now);
+    EXPECT_EQ(status(), 0U);
+    now += 1ms;
+    target.on_tick(now);
+    EXPECT_EQ(status(), 504U);
+    EXPECT_EQ(peers.cancelled.size(), 1U);
+}
+
+TEST_F(way_out, late_reply_is_dropped)
+{
+    configure();
+    request(1, "/read/1");
+    now += 1s;
+    target.on_tick(now);
+    reply(answered(200));
+    EXPECT_EQ(status(), 504U);
+    EXPECT_EQ(shared.metrics.late_replies, 1U);
+}
+
+TEST_F(way_out, unreachable_node_is_replaced_without_a_budget)
+{
+    configure();
+    peers.down = "node-a";
+    for (std::uint64_t i = 1; i <= 100; ++i)
+    {
+        request(i, "/pay/1", "id-" + std::to_string(i));
+    }
+    EXPECT_EQ(peers.calls.size(), 100U);
+    EXPECT_EQ(shared.metrics.repeats, 0U);
+}
+
+TEST_F(way_out, refused_call_goes_to_another_instance)
+{
+    configure();
+    request(1, "/pay/1");
+    const auto first = peers.calls[0].instance;
+    reply(engine::refuse(reason::queue_full, true), false);
+    ASSERT_EQ(peers.calls.size(), 2U);
+    EXPECT_NE(peers.calls[1].instance, first);
+}
+
+// What must not repeat: an unknown outcome ends the request.
+TEST_F(way_out, lost_call_that_must_not_repeat_is_not_sent_again)
+{
+    configure();
+    request(1, "/pay/1");
+    reply(engine::unknown_outcome(reason::backend_failed));
+    EXPECT_EQ(peers.calls.size(), 1U);
+    EXPECT_EQ(status(), 502U);
+}
+
+TEST_F(way_out, lost_peer_leaves_what_must_not_repeat_unknown)
+{
+    configure();
+    request(1, "/pay/1");
+    target.on_peer_lost("node-" + peers.calls[0].instance, now);
+    EXPECT_EQ(status(), 502U);
+}
+
+TEST_F(way_out, idempotent_request_is_repeated_once)
+{
+    configure();
+    request(1, "/read/1");
+    reply(engine::unknown_outcome(reason::backend_failed));
+    ASSERT_EQ(peers.calls.size(), 2U);
+    reply(engine::unknown_outcome(reason::backend_failed));
+    EXPECT_EQ(peers.calls.size(), 2U) << "max_attempts of the route";
+    EXPECT_EQ(status(), 502U);
+}
+
+// A refusal of the second attempt says nothing about the first.
+TEST_F(way_out, refusal_after_an_unknown_attempt_promises_nothing)
+{
+    configure();
+    request(1, "/read/1");
+    reply(engine::unknown_outcome(reason::backend_failed));
+    ASSERT_EQ(peers.calls.size(), 2U);
+    reply(engine::refuse(reason::backend_refused, true));
+    EXPECT_EQ(status(), 502U);
+}
+
+TEST_F(way_out, refusal_of_every_attempt_is_not_run)
+{
+    configure();
+    request(1, "/pay/1");
+    while (status() == 0)
+    {
+        reply(engine::refuse(reason::queue_full, true), false);
+    }
+    EXPECT_EQ(status(), 503U);
+}
+
+TEST_F(way_out, repeats_stop_when_the_budget_is_spent)
+{
+    configure();
+    for (std::uint64_t i = 1; i <= 200; ++i)
+    {
+        request(i, "/read/1", "id-" + std::to_string(i));
+        reply(engine::unknown_outcome(reason::backend_failed));
+        if (status(i) == 0)
+        {
+            reply(answered(200));
+        }
+    }
+    EXPECT_LE(shared.metrics.repeats, 200 * 0.2 + 49);
+    EXPECT_GT(shared.metrics.repeats_denied, 100U);
+}
+
+TEST_F(way_out, server_error_is_delivered_when_it_cannot_be_repeated)
+{
+    configure();
+    request(1, "/pay/1");
+    reply(answered(500));
+    EXPECT_EQ(status(), 500U);
+    EXPECT_EQ(clients.responses[1].body, "body");
+}
+
+TEST_F(way_out, call_of_a_client_that_left_is_withdrawn)
+{
+    configure();
+    request(1, "/read/1");
+    target.on_gone(1, now);
+    EXPECT_EQ(peers.cancelled.size(), 1U);
+    reply(answered(200));
+    EXPECT_EQ(status(), 0U);
+}
+
+TEST_F(way_out, call_of_a_running_request_inherits_its_place)
+{
+    configure();
+    shared.running.begin("id-1", {7, now + 1s, {}});
+    request(1, "/read/1", "id-1.x");
+    EXPECT_EQ(peers.calls[0].key, 7U);
+    EXPECT_TRUE(peers.calls[0].under_way);
+    routed_reply message;
+    message.value = answered(200);
+    message.arrived = true;
+    message.costs = {{"s", 1, 0.1}, {"deep", 4, 0.2}};
+    target.on_reply(peers.calls[0].id, message, now);
+    EXPECT_EQ(shared.running.end("id-1").size(), 2U);
+}
+
+// Pattern: clients keep sending on open connections while the node stops.
+TEST_F(way_out, stopping_node_refuses_new_requests_and_ends_those_in_flight)
+{
+    configure();
+    request(1, "/pay/1", "id-1");
+    target.stop_taking();
+    request(2, "/pay/2", "id-2");
+    EXPECT_EQ(status(2), 503U);
+    reply(answered(200));
+    EXPECT_EQ(status(1), 200U);
+}
+
+} // namespace
+} // namespace jujubespan::mesh
--- /dev/null
+++ b/src/jujubespan/mesh/entry_admission_test.cpp
@@ -0,0 +1,165 @@
+// Who is refused at the entry while a service behind the routes is full.
+
+#include "jujubespan/mesh/entry_admission.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+namespace jujubespan::mesh
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start{1000s};
+
+shed_key key_of(request_class cls, std::mt19937_64& random)
+{
+    return static_cast<shed_key>(cls) * keys_per_class +
+           static_cast<shed_key>(random() % keys_per_class);
+}
+
+// A service behind several routes, as a fluid: work that is admitted holds
+// slots after a delay, and its pressure is told after another.
+class fluid_service
+{
+public:
+    explicit fluid_service(double slots) : slots_(slots) {}
+
+    void admit(double seconds) { arriving_ += seconds; }
+
+    // Ends a step of ten milliseconds.
+    double step()
+    {
+        constexpr double length = 0.01;
+        constexpr std::size_t delay = 10;
+        pipeline_.push_back(std::exchange(arriving_, 0));
+        if (pipeline_.size() > delay)
+        {
+            work_ += pipeline_.front();
+            pipeline_.pop_front();
+        }
+        const double demand = work_ / hold_;
+        work_ -= std::min(demand, slots_) * length;
+        return demand / slots_;
+    }
+
+private:
+    double slots_;
+    double hold_{0.1}; // seconds that one request holds a slot
+    double arriving_{0};
+    double work_{0};
+    std::deque<double> pipeline_;
+};
+
+struct totals
+{
+    double offered{0};
+    double admitted{0};
+
+    [[nodiscard]] double share() const
+    {
+        return offered > 0 ? admitted / offered : 1;
+    }
+};
+
+class admission : public ::testing::Test
+{
+protected:
+    // Offers two classes for a while; the deep service has 138 slots.
+    void run(double critical_rate, double low_rate, duration length)
+    {
+        for (const auto end = now + length; now < end; now += 10ms)
+        {
+            offer(request_class::critical, critical_rate, critical);
+            offer(request_class::sheddable_plus, low_rate, low);
+            pressure = deep.step();
+            target.on_pressure("deep", pressure, now);
+            target.on_tick(now);
+        }
+    }
+
+    void offer(request_class cls, double rate, totals& into)
+    {
+        std::poisson_distribution<int> arrivals(rate / 100);
+        for (int i = arrivals(random); i > 0; --i)
+        {
+            ++into.offered;
+            if (!target.check(costs, key_of(cls, random), now))
+            {
+                ++into.admitted;
+                deep.admit(costs.front().busy);
+            }
+        }
+    }
+
+    std::vector<service_cost> costs{{"deep", 4, 0.12}};
+    entry_admission target;
+    fluid_service deep{138};
+    std::mt19937_64 random{11};
+    time_point now{start};
+    totals critical;
+    totals low;
+    double pressure{0};
+};
+
+TEST_F(admission, nothing_is_refused_below_capacity)
+{
+    run(300, 500, 10s); // 96 of 138 slots
+    EXPECT_DOUBLE_EQ(critical.share(), 1);
+    EXPECT_DOUBLE_EQ(low.share(), 1);
+}
+
+// Pattern: a burst asks for 1.6 times what the deepest service can carry.
+TEST_F(admission, burst_is_cut_to_capacity_lowest_class_first)
+{
+    run(300, 500, 5s);
+    critical = {};
+    low = {};
+    run(600, 1250, 15s); // 222 of 138 slots
+    EXPECT_GT(critical.share(), 0.97);
+    const double used = (critical.admitted + low.admitted) * 0.12 / 15;
+    EXPECT_GT(used, 0.85 * 138);
+    EXPECT_LT(used, 1.05 * 138);
+}
+
+TEST_F(admission, all_is_admitted_within_three_seconds_after_a_burst)
+{
+    run(600, 1250, 10s);
+    run(300, 500, 3s);
+    low = {};
+    run(300, 500, 3s);
+    EXPECT_GT(low.share(), 0.99);
+}
+
+TEST_F(admission, route_that_does_not_reach_the_service_is_not_refused)
+{
+    run(600, 1250, 5s);
+    const std::vector<service_cost> other{{"shallow", 1, 0.3}};
+    for (int i = 0; i < 100; ++i)
+    {
+        EXPECT_EQ(target.check(other,
+                               key_of(request_class::sheddable_plus, random),
+                               now),
+                  std::nullopt);
+    }
+}
+
+// Pattern: the service is cut off, so that nothing tells its pressure.
+TEST_F(admission, pressure_without_news_is_forgotten)
+{
+    run(600, 1250, 5s);
+    for (const auto end = now + 4s; now < end; now += 50ms)
+    {
+        target.on_tick(now);
+    }
+    EXPECT_DOUBLE_EQ(target.admitted("deep"), 1);
+    EXPECT_TRUE(target.report(now).empty());
+}
+
+} // namespace
+} // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -88,6 +88,10 @@
 std::optional<reason> guard::reason_to_refuse(const routed_call& call,
                                               time_point now) const
 {
+    if (closed_)
+    {
+        return reason::leaving;
+    }
     if (call.service != options_.service)
     {
         return reason::wrong_instance;
--- /dev/null
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -0,0 +1,253 @@
+// The guard: what reaches the backend server and what its answers prove.
+
+#include "jujubespan/mesh/guard.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace jujubespan::mesh
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using engine::backend_end;
+using engine::outcome;
+using engine::reason;
+
+const time_point start{1000s};
+
+class recording_backend final : public engine::backend_port
+{
+public:
+    void start(std::uint64_t call, const http_request& request) override
+    {
+        requests[call] = request;
+    }
+    void cancel(std::uint64_t call) override { cancelled.push_back(call); }
+
+    std::map<std::uint64_t, http_request> requests;
+    std::vector<std::uint64_t> cancelled;
+};
+
+class recording_replies final : public routed_reply_port
+{
+public:
+    void reply(std::uint64_t exchange, const routed_reply& value) override
+    {
+        EXPECT_FALSE(replies.contains(exchange)) << "answered twice";
+        replies[exchange] = value;
+    }
+
+    std::map<std::uint64_t, routed_reply> replies;
+};
+
+class guarding : public ::testing::Test
+{
+protected:
+    guarding()
+    {
+        put(false);
+        target.apply(directory, now);
+    }
+
+    void put(bool leaving)
+    {
+        instance item;
+        item.id = "i-1";
+        item.service = "s";
+        item.backend_address = "10.0.0.1:8080";
+        item.slots = 3;
+        item.leaving = leaving;
+        directory.put(item);
+    }
+
+    void call(std::uint64_t exchange, shed_key key = 0, bool under_way = false,
+              duration left = 1s)
+    {
+        routed_call message;
+        message.id = exchange;
+        message.request_id = "id-" + std::to_string(exchange);
+        message.instance = "i-1";
+        message.service = "s";
+        message.caller_service = "caller";
+        message.route = "r";
+        message.deadline = now + left;
+        message.key = key;
+        message.under_way = under_way;
+        message.request.verb = "GET";
+        message.request.target = "/r/1";
+        message.request.headers = {{names.caller_service, "forged"}};
+        target.on_call(exchange, std::move(message), now);
+    }
+
+    void answer(std::uint64_t exchange, unsigned status,
+                std::vector<http_header> headers)
+    {
+        target.on_backend_end(exchange, backend_end::answered,
+                              {status, std::move(headers), "body"}, now);
+    }
+
+    [[nodiscard]] const engine::answer& reply(std::uint64_t exchange)
+    {
+        return replies.replies[exchange].value;
+    }
+
+    time_point now{start};
+    header_names names;
+    shared_state shared;
+    recording_backend backend;
+    recording_replies replies;
+    instance_directory directory;
+    guard target{{.service = "s", .backend_address = "10.0.0.1:8080"},
+                 shared,
+                 backend,
+                 replies};
+};
+
+TEST_F(guarding, request_names_instance_caller_and_remaining_time)
+{
+    call(1, 0, false, 700ms);
+    const auto& headers = backend.requests.at(1).headers;
+    EXPECT_EQ(find_header(headers, names.expected_instance), "i-1");
+    EXPECT_EQ(find_header(headers, names.caller_service), "caller");
+    EXPECT_EQ(find_header(headers, names.deadline), "700");
+}
+
+TEST_F(guarding, signed_answer_is_passed_on)
+{
+    call(1);
+    answer(1, 200, {{names.signature, "x"}});
+    EXPECT_EQ(reply(1).result, outcome::answered);
+    EXPECT_EQ(reply(1).response.body, "body");
+}
+
+TEST_F(guarding, success_without_signature_proves_nothing)
+{
+    call(1);
+    answer(1, 200, {});
+    EXPECT_EQ(reply(1).result, outcome::unknown);
+}
+
+TEST_F(guarding, encoded_body_is_not_the_backend_servers)
+{
+    call(1);
+    answer(1, 200, {{names.signature, "x"}, {"Content-Encoding", "gzip"}});
+    EXPECT_EQ(reply(1).result, outcome::unknown);
+}
+
+TEST_F(guarding, overload_status_alone_does_not_prove_that_nothing_ran)
+{
+    call(1);
+    answer(1, 503, {});
+    EXPECT_EQ(reply(1).result, outcome::unknown);
+    call(2);
+    answer(2, 503, {{names.not_run, "1"}});
+    EXPECT_EQ(reply(2).result, outcome::not_run);
+}
+
+TEST_F(guarding, another_backend_server_at_the_address_did_not_run_it)
+{
+    call(1);
+    answer(1, 421, {});
+    EXPECT_EQ(reply(1).result, outcome::not_run);
+    EXPECT_EQ(reply(1).reason, reason::wrong_instance);
+}
+
+TEST_F(guarding, connection_that_never_opened_is_not_run)
+{
+    call(1);
+    target.on_backend_end(1, backend_end::unreachable, {}, now);
+    EXPECT_EQ(reply(1).result, outcome::not_run);
+    EXPECT_FALSE(replies.replies[1].arrived);
+}
+
+TEST_F(guarding, lost_connection_leaves_the_outcome_unknown)
+{
+    call(1);
+    target.on_backend_end(1, backend_end::failed, {}, now);
+    EXPECT_EQ(reply(1).result, outcome::unknown);
+}
+
+TEST_F(guarding, leaving_backend_server_gets_nothing_new)
+{
+    put(true);
+    target.apply(directory, now);
+    call(1);
+    EXPECT_TRUE(backend.requests.empty());
+    EXPECT_EQ(reply(1).reason, reason::leaving);
+    EXPECT_TRUE(reply(1).elsewhere_may_help);
+}
+
+TEST_F(guarding, removed_backend_server_gets_nothing_new)
+{
+    directory.remove("i-1", now);
+    call(1);
+    EXPECT_TRUE(backend.requests.empty());
+}
+
+TEST_F(guarding, calls_beyond_the_slots_wait_and_the_most_urgent_runs_first)
+{
+    call(1);
+    call(2); // 0.94 of three slots, rounded down
+    call(3, 3000);
+    call(4, 10);
+    EXPECT_EQ(backend.requests.size(), 2U);
+    answer(1, 200, {{names.signature, "x"}});
+    EXPECT_TRUE(backend.requests.contains(4));
+    EXPECT_FALSE(backend.requests.contains(3));
+}
+
+TEST_F(guarding, call_whose_time_ends_in_the_queue_is_not_run)
+{
+    call(1);
+    call(2);
+    call(3, 0, false, 50ms);
+    now += 60ms;
+    target.on_tick(now);
+    EXPECT_EQ(reply(3).result, outcome::not_run);
+    EXPECT_FALSE(backend.requests.contains(3));
+}
+
+TEST_F(guarding, call_whose_time_ends_while_running_is_cancelled)
+{
+    call(1, 0, false, 50ms);
+    now += 60ms;
+    target.on_tick(now);
+    EXPECT_EQ(reply(1).result, outcome::unknown);
+    EXPECT_EQ(backend.cancelled, std::vector<std::uint64_t>{1});
+}
+
+TEST_F(guarding, withdrawn_call_frees_its_slot)
+{
+    call(1);
+    call(2);
+    call(3);
+    target.on_withdrawn(1, now);
+    EXPECT_EQ(backend.cancelled, std::vector<std::uint64_t>{1});
+    EXPECT_TRUE(backend.requests.contains(3));
+    EXPECT_FALSE(replies.replies.contains(1));
+}
+
+TEST_F(guarding, replies_say_that_the_node_is_stopping)
+{
+    target.begin_drain();
+    call(1);
+    answer(1, 200, {{names.signature, "x"}});
+    EXPECT_TRUE(reply(1).leaving);
+    EXPECT_EQ(reply(1).result, outcome::answered) << "still served";
+}
+
+TEST_F(guarding, stopping_node_runs_nothing_new)
+{
+    call(1);
+    target.stop_taking();
+    call(2);
+    EXPECT_EQ(reply(2).result, outcome::not_run);
+    answer(1, 200, {{names.signature, "x"}});
+    EXPECT_EQ(reply(1).result, outcome::answered);
+}
+
+} // namespace
+} // namespace jujubespan::mesh
--- /dev/null
+++ b/src/jujubespan/mesh/instance_directory_test.cpp
@@ -0,0 +1,102 @@
+// Which listed instances count as gone, with discovery up, away and back.
+
+#include "jujubespan/mesh/instance_directory.hpp"
+
+#include <gtest/gtest.h>
+
+namespace jujubespan::mesh
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start{1000s};
+
+instance make_instance(std::string id, std::uint64_t lifetime = 1)
+{
+    instance value;
+    value.id = std::move(id);
+    value.service = "s";
+    value.backend_address = "10.0.0.1:8080";
+    value.lifetime = lifetime;
+    return value;
+}
+
+class directory : public ::testing::Test
+{
+protected:
+    directory() { list.put(make_instance("a")); }
+
+    instance_directory list;
+};
+
+TEST_F(directory, removal_counts_at_once_while_discovery_is_up)
+{
+    list.remove("a", start);
+    EXPECT_EQ(list.state("a"), instance_state::removed);
+}
+
+TEST_F(directory, unknown_is_not_removed)
+{
+    EXPECT_EQ(list.state("b"), instance_state::unknown);
+}
+
+// Pattern: entries lapse while the store is down and come back after it.
+TEST_F(directory, lapsed_entry_is_held_after_an_outage)
+{
+    list.on_interrupted(start);
+    list.on_restored(start + 5s);
+    list.remove("a", start + 5s);
+    EXPECT_EQ(list.state("a"), instance_state::usable);
+    list.put(make_instance("a"));
+    EXPECT_FALSE(list.expire(start + 8s));
+    EXPECT_EQ(list.state("a"), instance_state::usable);
+}
+
+TEST_F(directory, entry_still_missing_two_seconds_after_an_outage_is_gone)
+{
+    list.on_interrupted(start);
+    list.on_restored(start + 5s);
+    list.remove("a", start + 5s);
+    EXPECT_FALSE(list.expire(start + 6900ms));
+    EXPECT_TRUE(list.expire(start + 7s));
+    EXPECT_EQ(list.state("a"), instance_state::removed);
+}
+
+// Pattern: the store drops its history and cuts its watches; a server left
+// in the gap.
+TEST_F(directory, short_cut_of_a_watch_holds_nothing)
+{
+    list.on_interrupted(start);
+    list.on_restored(start + 300ms);
+    list.keep_only({}, start + 300ms);
+    EXPECT_EQ(list.state("a"), instance_state::removed);
+}
+
+TEST_F(directory, leaving_is_never_held)
+{
+    list.on_interrupted(start);
+    list.on_restored(start + 5s);
+    auto leaving = make_instance("a");
+    leaving.leaving = true;
+    list.put(leaving);
+    EXPECT_EQ(list.state("a"), instance_state::leaving);
+}
+
+TEST_F(directory, restart_under_the_same_id_is_usable)
+{
+    list.remove("a", start);
+    list.put(make_instance("a", 2));
+    EXPECT_EQ(list.state("a"), instance_state::usable);
+}
+
+TEST_F(directory, newest_lifetime_owns_an_address)
+{
+    list.put(make_instance("b", 5));
+    ASSERT_NE(list.at_address("10.0.0.1:8080"), nullptr);
+    EXPECT_EQ(list.at_address("10.0.0.1:8080")->id, "b");
+}
+
+} // namespace
+} // namespace jujubespan::mesh
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -204,6 +204,12 @@
 {
     const duration spent = now - drain_began_;
     const auto busy = egress_.in_flight() + gate_.in_flight();
+    if (spent >= leave_time)
+    {
+        // What is taken later might not end before the process does.
+        egress_.stop_taking();
+        gate_.stop_taking();
+    }
     const bool over = spent >= options_.stop_grace - stop_margin;
     if (!over && (spent < leave_time || busy > 0))
     {
