Admission steers by the ratio of target to pressure; nodes that stay down refuse at once

The share now follows what was admitted half a second ago times target over pressure. Calls to a node whose connection stays down are turned away at once instead of being held, and waits at the guard are shorter.

--- a/include/jujubespan/config/mesh_settings.hpp
+++ b/include/jujubespan/config/mesh_settings.hpp
@@ -35,7 +35,7 @@
     endpoint discovery_address;
     bool first_start{false}; ///< The whole fleet starts for the first time.
     bool protection{true};   ///< False: no limit, queue or admission level.
-    duration queue_wait{std::chrono::milliseconds(100)};
+    duration queue_wait{std::chrono::milliseconds(50)};
     duration stop_grace{std::chrono::seconds(6)}; ///< SIGTERM to SIGKILL.
     std::size_t max_buffered_bytes{64U << 20U};
     std::size_t max_connections{1400};
--- a/include/jujubespan/mesh/entry_admission.hpp
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -38,9 +38,9 @@
 /// @brief Decides at the entry which requests are admitted, by the pressure
 /// of every service behind their route.
 ///
-/// Each service has a share of the offered load that is admitted. It shrinks
-/// while the service's pressure is above its target and grows while it is
-/// below. The share is given to the classes in order, so that a lower class
+/// Each service has a share of the offered load that is admitted. It is the
+/// share admitted some time ago, corrected by the ratio of the target to the
+/// pressure that followed from it. The share is given to the classes in order, so that a lower class
 /// gets what those above it leave; within a class the position of the request
 /// decides, which is the same for all services.
 class entry_admission
@@ -75,6 +75,7 @@
         double pressure{0};
         time_point heard{};
         double admitted{1};
+        double admitted_before{1}; ///< Mean of the time that now shows.
         by_class offered{}; ///< Slot-seconds in this interval.
         by_class demand{};  ///< Smoothed.
     };
--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -70,7 +70,8 @@
 /// connects for each peer in use.
 ///
 /// A message to a peer whose connection is still being made is held for a
-/// short while; it is then either sent or reported as unsent, never both.
+/// short while; it is then either sent or reported as unsent, never both. While
+/// a connection stays down, messages to its peer are turned away at once.
 class messenger
 {
 public:
@@ -111,7 +112,7 @@
     struct link;
 
     [[nodiscard]] bool can_connect(std::string_view peer) const;
-    link& connect(std::string_view peer);
+    link& connect(std::string_view peer, time_point now);
     void seal(v1::Envelope& message, std::string_view to) const;
     bool transmit(link& to, const v1::Envelope& message);
     void receive_bound();
--- a/src/jujubespan/config/mesh_settings.cpp
+++ b/src/jujubespan/config/mesh_settings.cpp
@@ -48,7 +48,7 @@
     value.discovery_address = read_endpoint(reader, "discovery_address");
     value.first_start = reader.bool_or("first_start", false);
     value.protection = reader.bool_or("protection", true);
-    value.queue_wait = reader.milliseconds_or("queue_wait_ms", 100, 1, 10'000);
+    value.queue_wait = reader.milliseconds_or("queue_wait_ms", 50, 1, 10'000);
     value.stop_grace =
         from_seconds(reader.number_or("stop_grace_s", 6, 1, longest_grace));
     value.max_buffered_bytes = reader.integer_or(
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -78,6 +78,8 @@
     {
     case reason::no_upstream:
     case reason::backend_unreachable:
+    case reason::wrong_instance: // Until discovery lists the new one.
+    case reason::leaving:
         return attempt_end::unreachable;
     case reason::backend_refused:
     {
--- a/src/jujubespan/mesh/entry_admission.cpp
+++ b/src/jujubespan/mesh/entry_admission.cpp
@@ -14,14 +14,18 @@
 constexpr duration pressure_lifetime = std::chrono::milliseconds(1000);
 constexpr double pressure_weight = 0.25; // of one report
 constexpr double demand_weight = 0.06;   // of one interval
-// Between these pressures the share stays as it is.
-constexpr double high_pressure = 0.93;
-constexpr double low_pressure = 0.88;
-// Change in one interval: the shrinking grows with the excess, up to its
-// range.
-constexpr double shrink = 0.06;
-constexpr double shrink_range = 0.15;
-constexpr double grow = 0.02;
+// Pressure that the admitted share is steered to.
+constexpr double target_pressure = 0.92;
+// The pressure of now follows from what was admitted about this long ago;
+// requests reach the services behind their first one late.
+constexpr double delay_intervals = 10;
+// Part of the way to the wanted share that is gone in one interval.
+constexpr double gain = 0.2;
+constexpr double most_growth = 1.15; // factor in one interval
+constexpr double recovery = 0.05;    // in one interval without news
+constexpr double lowest_pressure = 0.05;
+// A longer queue does not mean that more was admitted too much.
+constexpr double highest_pressure = 1.3;
 constexpr double least_admitted = 0.05;
 // Pressures below this need no reaction from callers.
 constexpr double reported_pressure = 0.5;
@@ -86,16 +90,19 @@
         state.demand[i] += demand_weight * (state.offered[i] - state.demand[i]);
     }
     state.offered.fill(0);
-    const bool known = now - state.heard <= pressure_lifetime;
-    if (known && state.pressure > high_pressure)
+    state.admitted_before +=
+        (state.admitted - state.admitted_before) / delay_intervals;
+    if (now - state.heard <= pressure_lifetime)
     {
-        const double excess =
-            std::min(1.0, (state.pressure - high_pressure) / shrink_range);
-        state.admitted -= state.admitted * shrink * excess;
+        const double wanted = state.admitted_before * target_pressure /
+                              std::clamp(state.pressure, lowest_pressure,
+                                         highest_pressure);
+        const double next = state.admitted + gain * (wanted - state.admitted);
+        state.admitted = std::min(next, state.admitted * most_growth);
     }
-    else if (!known || state.pressure < low_pressure)
+    else
     {
-        state.admitted += grow;
+        state.admitted += recovery;
     }
     state.admitted = std::clamp(state.admitted, least_admitted, 1.0);
 }
--- a/src/jujubespan/mesh/entry_admission_test.cpp
+++ b/src/jujubespan/mesh/entry_admission_test.cpp
@@ -28,7 +28,11 @@
 class fluid_service
 {
 public:
-    explicit fluid_service(double slots) : slots_(slots) {}
+    /// @param delay steps from admission to arrival.
+    fluid_service(double slots, std::size_t delay)
+        : slots_(slots), delay_(delay)
+    {
+    }
 
     void admit(double seconds) { arriving_ += seconds; }
 
@@ -36,20 +40,24 @@
     double step()
     {
         constexpr double length = 0.01;
-        constexpr std::size_t delay = 10;
         pipeline_.push_back(std::exchange(arriving_, 0));
-        if (pipeline_.size() > delay)
+        if (pipeline_.size() > delay_)
         {
             work_ += pipeline_.front();
             pipeline_.pop_front();
         }
+        // The guard refuses what would wait for long.
+        work_ = std::min(work_, slots_ * (hold_ + longest_wait));
         const double demand = work_ / hold_;
         work_ -= std::min(demand, slots_) * length;
         return demand / slots_;
     }
 
 private:
+    static constexpr double longest_wait = 0.1; // seconds
+
     double slots_;
+    std::size_t delay_;
     double hold_{0.1}; // seconds that one request holds a slot
     double arriving_{0};
     double work_{0};
@@ -99,7 +107,7 @@
 
     std::vector<service_cost> costs{{"deep", 4, 0.12}};
     entry_admission target;
-    fluid_service deep{138};
+    fluid_service deep{138, 10};
     std::mt19937_64 random{11};
     time_point now{start};
     totals critical;
@@ -149,6 +157,33 @@
     }
 }
 
+// Pattern: a small service that is called half a second after admission, a
+// little beyond its capacity. Cutting too much leaves its slots idle.
+TEST_F(admission, slight_overload_of_a_late_service_leaves_no_slots_idle)
+{
+    deep = fluid_service(72, 50);
+    run(150, 400, 5s); // 66 of 72 slots
+    critical = {};
+    low = {};
+    run(200, 500, 20s); // 84 of 72 slots
+    const double used = (critical.admitted + low.admitted) * 0.12 / 20;
+    EXPECT_GT(used, 0.85 * 72);
+    EXPECT_LT(used, 1.05 * 72);
+    EXPECT_GT(critical.share(), 0.97);
+}
+
+// Pattern: the same after a surge of twice the capacity has passed.
+TEST_F(admission, surge_does_not_leave_slots_idle_afterwards)
+{
+    deep = fluid_service(72, 50);
+    run(200, 1000, 5s); // 144 of 72 slots
+    run(150, 350, 2s);
+    critical = {};
+    low = {};
+    run(150, 350, 10s); // 60 of 72 slots
+    EXPECT_GT(low.share(), 0.97);
+}
+
 // Pattern: the service is cut off, so that nothing tells its pressure.
 TEST_F(admission, pressure_without_news_is_forgotten)
 {
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -44,14 +44,16 @@
         time_point since;
     };
 
-    link(messenger& owner, std::string peer, std::uint64_t number)
+    link(messenger& owner, std::string peer, std::uint64_t number,
+         time_point now)
         : id(std::move(peer)),
           monitor_name(
               fmt::format("inproc://monitor-{}-{}", fmt::ptr(&owner), number)),
           socket(owner.context_, zmq::socket_type::dealer,
                  [this, &owner] { owner.receive_from(*this); }),
           monitor(owner.context_, zmq::socket_type::pair,
-                  [this, &owner] { owner.receive_event(*this); })
+                  [this, &owner] { owner.receive_event(*this); }),
+          down_since(now)
     {
     }
 
@@ -60,6 +62,7 @@
     zmq_socket socket;
     zmq_socket monitor;
     bool connected{false};
+    time_point down_since; // while not connected
     std::deque<held_message> held;
 };
 
@@ -129,12 +132,12 @@
             found->second.public_key.size() == public_key_size);
 }
 
-messenger::link& messenger::connect(std::string_view peer)
+messenger::link& messenger::connect(std::string_view peer, time_point now)
 {
     static std::uint64_t next_number = 0;
     const auto& address = addresses_.find(peer)->second;
     auto created =
-        std::make_unique<link>(*this, std::string(peer), ++next_number);
+        std::make_unique<link>(*this, std::string(peer), ++next_number, now);
     auto& raw = created->socket.raw();
     configure_client(raw, keys_, address.public_key, timing_);
     zmq_socket_monitor(raw.handle(), created->monitor_name.c_str(),
@@ -164,13 +167,15 @@
         return false;
     }
     const auto found = links_.find(peer);
-    link& to = found == links_.end() ? connect(peer) : *found->second;
+    link& to = found == links_.end() ? connect(peer, now) : *found->second;
     seal(message, peer);
     if (to.connected)
     {
         return transmit(to, message);
     }
-    if (to.held.size() >= most_held)
+    // The connection is tried again and again without any message.
+    const bool hopeless = now - to.down_since > longest_hold;
+    if (hopeless || to.held.size() >= most_held)
     {
         return false;
     }
@@ -293,6 +298,7 @@
         {
             lost = lost || from.connected;
             from.connected = false;
+            from.down_since = boot_clock::now();
         }
     }
     if (from.connected)
