--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBESPAN_MESH_BALANCER_HPP
 #define JUJUBESPAN_MESH_BALANCER_HPP
 
+#include "jujubespan/mesh/entry_admission.hpp"
 #include "jujubespan/policy/instance.hpp"
 #include "jujubespan/policy/string_map.hpp"
 #include "jujubespan/policy/time.hpp"
@@ -49,7 +50,7 @@
     std::optional<std::string> pick(std::span<const std::string> exclude,
                                     std::mt19937_64& random, time_point now);
 
-    void on_start(std::string_view id);
+    void on_start(std::string_view id, time_point now);
 
     /// @param latency time that the instance's node held the request; zero
     /// when it is not known.
@@ -63,9 +64,10 @@
 
     [[nodiscard]] std::size_t size() const { return members_.size(); }
 
-    /// @brief Calls in progress at all instances over their limits, as they
-    /// told lately.
-    /// @return nothing when too few told.
+    /// @brief Calls in progress at the reachable instances over their limits,
+    /// as they told lately.
+    /// @return nothing when too few told; `unavailable_pressure` when no
+    /// instance can be reached.
     [[nodiscard]] std::optional<double> pressure(time_point now) const;
 
 private:
@@ -75,8 +77,10 @@
         std::uint32_t in_flight{0};
         upstream_load load;
         time_point load_at{};
-        double latency{0};  // seconds, smoothed; zero: not known
-        double failures{0}; // share of recent attempts
+        time_point heard_at{};   // last reply
+        time_point waiting_at{}; // start of the first call since then
+        double latency{0};       // seconds, smoothed; zero: not known
+        double failures{0};      // share of recent attempts
         time_point failures_at{};
         unsigned unreachable{0};
         time_point avoid_until{};
@@ -92,6 +96,8 @@
     [[nodiscard]] std::vector<member*>
     usable(std::span<const std::string> exclude, time_point now);
     /// @return an outlier whose probe is due, which goes before the others.
+    /// @brief True when an instance owes answers and is silent for too long.
+    [[nodiscard]] static bool silent(const member& m, time_point now);
     static member* drop_outliers(std::vector<member*>& pool, time_point now);
     static double best_latency(std::span<member* const> pool);
 
--- a/include/jujubespan/mesh/entry_admission.hpp
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -27,6 +27,9 @@
     bool operator==(const service_pressure&) const = default;
 };
 
+/// @brief Pressure of a service of which no instance can be reached.
+inline constexpr double unavailable_pressure = 12;
+
 /// @brief Why a request was not admitted.
 struct admission_refusal
 {
@@ -40,9 +43,9 @@
 ///
 /// Each service has a share of the offered load that is admitted. It is the
 /// share admitted some time ago, corrected by the ratio of the target to the
-/// pressure that followed from it. The share is given to the classes in order, so that a lower class
-/// gets what those above it leave; within a class the position of the request
-/// decides, which is the same for all services.
+/// pressure that followed from it. The share is given to the classes in order,
+/// so that a lower class gets what those above it leave; within a class the
+/// position of the request decides, which is the same for all services.
 class entry_admission
 {
 public:
@@ -76,8 +79,8 @@
         time_point heard{};
         double admitted{1};
         double admitted_before{1}; ///< Mean of the time that now shows.
-        by_class offered{}; ///< Slot-seconds in this interval.
-        by_class demand{};  ///< Smoothed.
+        by_class offered{};        ///< Slot-seconds in this interval.
+        by_class demand{};         ///< Smoothed.
     };
 
     static double share_of(const service_state& state, std::size_t cls);
--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -25,6 +25,11 @@
 constexpr duration longest_avoidance = std::chrono::seconds(2);
 // A node that stops is back or gone from the list by then.
 constexpr duration leaving_lifetime = std::chrono::seconds(8);
+// An instance that owes this many answers and sends none for several times its
+// usual latency, or this long, is likely to be cut off or frozen.
+constexpr std::uint32_t silent_calls = 2;
+constexpr double silent_latencies = 3;
+constexpr duration shortest_silence = std::chrono::milliseconds(250);
 // Parts of the cost.
 constexpr double idle_cost = 0.1;
 constexpr double nearly_full = 0.8; // load above which room counts most
@@ -33,7 +38,9 @@
 constexpr double other_domain_cost = 0.12;
 constexpr double cold_factor = 2;
 constexpr double unknown_latency = 0.5; // part of the best known one
-constexpr double spread = 0.1;          // random part of a cost
+// Longer queues tell nothing more.
+constexpr double highest_pressure = 2;
+constexpr double spread = 0.1; // random part of a cost
 
 } // namespace
 
@@ -77,6 +84,17 @@
     return pool;
 }
 
+bool balancer::silent(const member& m, time_point now)
+{
+    if (m.in_flight < silent_calls)
+    {
+        return false;
+    }
+    const duration limit =
+        std::max(shortest_silence, from_seconds(m.latency * silent_latencies));
+    return now - std::max(m.heard_at, m.waiting_at) > limit;
+}
+
 balancer::member* balancer::drop_outliers(std::vector<member*>& pool,
                                           time_point now)
 {
@@ -158,6 +176,10 @@
         {
             continue;
         }
+        if (now < m.avoid_until || silent(m, now))
+        {
+            continue;
+        }
         ++usable;
         if (m.load.limit > 0 && now - m.load_at <= load_lifetime)
         {
@@ -166,11 +188,15 @@
             limit += m.load.limit;
         }
     }
+    if (usable == 0 && !members_.empty())
+    {
+        return unavailable_pressure;
+    }
     if (told == 0 || told * 2 < usable)
     {
         return std::nullopt;
     }
-    return used / limit;
+    return std::min(used / limit, highest_pressure);
 }
 
 std::optional<std::string> balancer::pick(std::span<const std::string> exclude,
@@ -178,6 +204,13 @@
                                           time_point now)
 {
     auto pool = usable(exclude, now);
+    const bool all_silent =
+        std::all_of(pool.begin(), pool.end(),
+                    [now](const member* m) { return silent(*m, now); });
+    if (!all_silent)
+    {
+        std::erase_if(pool, [now](const member* m) { return silent(*m, now); });
+    }
     if (const auto* probed = drop_outliers(pool, now))
     {
         return probed->info.id;
@@ -204,10 +237,14 @@
     return chosen->info.id;
 }
 
-void balancer::on_start(std::string_view id)
+void balancer::on_start(std::string_view id, time_point now)
 {
     if (member* m = find(id))
     {
+        if (m->in_flight == 0 || m->waiting_at < m->heard_at)
+        {
+            m->waiting_at = now;
+        }
         ++m->in_flight;
     }
 }
@@ -234,6 +271,7 @@
         return;
     }
     m->unreachable = 0;
+    m->heard_at = now;
     const bool bad = end == attempt_end::failed || end == attempt_end::rejected;
     const double before = failures_of(*m, now);
     m->failures = before + failure_weight * ((bad ? 1.0 : 0.0) - before);
--- a/src/jujubespan/mesh/balancer_test.cpp
+++ b/src/jujubespan/mesh/balancer_test.cpp
@@ -54,7 +54,7 @@
                 continue;
             }
             ++counts[*chosen];
-            target.on_start(*chosen);
+            target.on_start(*chosen, now);
             const auto end = ends.find(*chosen);
             const auto latency = latencies.find(*chosen);
             target.on_end(
@@ -180,7 +180,7 @@
         const auto chosen = target.pick({}, random, now);
         ASSERT_TRUE(chosen.has_value());
         ++running[*chosen];
-        target.on_start(*chosen);
+        target.on_start(*chosen, now);
         tell(*chosen, running[*chosen]);
     }
     for (const auto& [id, count] : running)
@@ -189,5 +189,34 @@
     }
 }
 
+// Pattern: a machine freezes or is cut off; its connections stay open.
+TEST_F(balancing, instance_that_owes_answers_and_is_silent_is_left_alone)
+{
+    send(300, {}, {{"a", 20ms}, {"b", 20ms}, {"c", 20ms}});
+    target.on_start("a", now);
+    target.on_start("a", now);
+    now += 100ms;
+    EXPECT_GT(send(10)["a"] + send(10)["b"] + send(10)["c"], 0);
+    // Replies to later calls clear the suspicion.
+    target.on_start("a", now);
+    target.on_start("a", now);
+    now += 300ms;
+    for (int i = 0; i < 50; ++i)
+    {
+        EXPECT_NE(target.pick({}, random, now), "a");
+    }
+    target.on_end("a", attempt_end::served, 20ms, now);
+    EXPECT_GT(send(100)["a"], 0);
+}
+
+TEST_F(balancing, service_without_reachable_instance_is_unavailable)
+{
+    for (const auto* id : {"a", "b", "c"})
+    {
+        target.on_end(id, attempt_end::unreachable, {}, now);
+    }
+    EXPECT_EQ(target.pressure(now), unavailable_pressure);
+}
+
 } // namespace
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -256,7 +256,7 @@
     call.message.id = next_id_++;
     call.message.instance = *chosen;
     ++shared_.metrics.attempts;
-    targets.on_start(*chosen);
+    targets.on_start(*chosen, now);
     if (peers_.call(call.peer, call.message, now))
     {
         return true;
--- a/src/jujubespan/mesh/entry_admission.cpp
+++ b/src/jujubespan/mesh/entry_admission.cpp
@@ -26,6 +26,8 @@
 constexpr double lowest_pressure = 0.05;
 // A longer queue does not mean that more was admitted too much.
 constexpr double highest_pressure = 1.3;
+// Most of those that call the service cannot reach any instance.
+constexpr double unreachable_pressure = 4;
 constexpr double least_admitted = 0.05;
 // Pressures below this need no reaction from callers.
 constexpr double reported_pressure = 0.5;
@@ -45,6 +47,10 @@
 
 double entry_admission::share_of(const service_state& state, std::size_t cls)
 {
+    if (state.pressure >= unreachable_pressure)
+    {
+        return least_admitted;
+    }
     if (state.admitted >= 1)
     {
         return 1;
@@ -94,14 +100,15 @@
         (state.admitted - state.admitted_before) / delay_intervals;
     if (now - state.heard <= pressure_lifetime)
     {
-        const double wanted = state.admitted_before * target_pressure /
-                              std::clamp(state.pressure, lowest_pressure,
-                                         highest_pressure);
+        const double wanted =
+            state.admitted_before * target_pressure /
+            std::clamp(state.pressure, lowest_pressure, highest_pressure);
         const double next = state.admitted + gain * (wanted - state.admitted);
         state.admitted = std::min(next, state.admitted * most_growth);
     }
     else
     {
+        state.pressure = 0;
         state.admitted += recovery;
     }
     state.admitted = std::clamp(state.admitted, least_admitted, 1.0);
--- a/src/jujubespan/mesh/entry_admission_test.cpp
+++ b/src/jujubespan/mesh/entry_admission_test.cpp
@@ -196,5 +196,28 @@
     EXPECT_TRUE(target.report(now).empty());
 }
 
+// Pattern: the only reachable instance of a deep service restarts. Requests
+// that would call it fail after the work above is done.
+TEST_F(admission, requests_for_an_unreachable_service_are_refused_at_once)
+{
+    run(300, 500, 3s);
+    target.on_pressure("deep", unavailable_pressure, now);
+    target.on_pressure("deep", unavailable_pressure, now);
+    int admitted = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        admitted +=
+            target.check(costs, key_of(request_class::critical, random), now)
+                ? 0
+                : 1;
+    }
+    EXPECT_LT(admitted, 100) << "only probes";
+    EXPECT_GT(admitted, 0);
+    run(300, 500, 1s);
+    low = {};
+    run(300, 500, 1s);
+    EXPECT_GT(low.share(), 0.9) << "back when an instance is";
+}
+
 } // namespace
 } // namespace jujubespan::mesh
