Steer services to a short queue and use 0.95 of the slots

Cause: with a target pressure of 0.92 the small pools of the deepest service were idle part of the time while requests for it were refused; floor(0.94 * 20) left two slots unused where 0.95 leaves one.

--- a/src/jujubespan/mesh/entry_admission.cpp
+++ b/src/jujubespan/mesh/entry_admission.cpp
@@ -15,7 +15,7 @@
 constexpr double pressure_weight = 0.25; // of one report
 constexpr double demand_weight = 0.06;   // of one interval
 // Pressure that the admitted share is steered to.
-constexpr double target_pressure = 0.92;
+constexpr double target_pressure = 1.05;
 // The pressure of now follows from what was admitted about this long ago;
 // requests reach the services behind their first one late.
 constexpr double delay_intervals = 10;
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -19,7 +19,7 @@
 
 // Part of the published slots that is used; some backend servers slow down
 // when the last ones are taken, and new connections hold a slot briefly.
-constexpr double used_slots = 0.94;
+constexpr double used_slots = 0.95;
 // Limit while the published slots are not known.
 constexpr std::uint32_t unknown_slots = 16;
 // A request with less time than this left is not started.
