--- a/include/jujubespan/mesh/entry_admission.hpp
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -35,6 +35,7 @@
 {
     std::string service; ///< The one that has no room.
     double pressure{0};
+    duration age{};     ///< Of the last news of the pressure.
     double admitted{0}; ///< Share of the request's class that is admitted.
 };
 
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -200,10 +200,11 @@
         return std::nullopt;
     }
     log(log_level::info, "request_shed",
-        "request={} route={} priority={} service={} pressure={:.2f} "
-        "admitted={:.2f}",
-        message.request_id, message.route, call.path->priority,
-        refusal->service, refusal->pressure, refusal->admitted);
+        "request={} route={} version={} priority={} service={} pressure={:.2f} "
+        "pressure_age_ms={} admitted={:.2f} outcome=not-run",
+        message.request_id, message.route, version(), call.path->priority,
+        refusal->service, refusal->pressure, milliseconds(refusal->age),
+        refusal->admitted);
     return engine::refuse(reason::downstream_overload);
 }
 
@@ -519,11 +520,14 @@
 {
     ++shared_.metrics.outcomes[static_cast<std::size_t>(value.result)];
     ++shared_.metrics.egress_reasons[static_cast<std::size_t>(value.reason)];
-    log(log_level::info, "request_refused",
-        "request={} route={} version={} outcome={} reason={}",
-        call.message.request_id,
-        call.path == nullptr ? std::string("-") : call.path->name, version(),
-        to_string(value.result), to_string(value.reason));
+    if (value.reason != reason::downstream_overload) // Logged with its inputs.
+    {
+        log(log_level::info, "request_refused",
+            "request={} route={} version={} outcome={} reason={}",
+            call.message.request_id,
+            call.path == nullptr ? std::string("-") : call.path->name,
+            version(), to_string(value.result), to_string(value.reason));
+    }
     clients_.respond(call.exchange, to_response(value, call.path));
 }
 
--- a/src/jujubespan/mesh/entry_admission.cpp
+++ b/src/jujubespan/mesh/entry_admission.cpp
@@ -15,7 +15,7 @@
 constexpr double pressure_weight = 0.25; // of one report
 constexpr double demand_weight = 0.06;   // of one interval
 // Pressure that the admitted share is steered to.
-constexpr double target_pressure = 1.05;
+constexpr double target_pressure = 1.4;
 // The pressure of now follows from what was admitted about this long ago;
 // requests reach the services behind their first one late.
 constexpr double delay_intervals = 10;
@@ -25,7 +25,7 @@
 constexpr double recovery = 0.05;    // in one interval without news
 constexpr double lowest_pressure = 0.05;
 // A longer queue does not mean that more was admitted too much.
-constexpr double highest_pressure = 1.3;
+constexpr double highest_pressure = 1.9;
 // Most of those that call the service cannot reach any instance.
 constexpr double unreachable_pressure = 4;
 constexpr double least_admitted = 0.05;
@@ -69,7 +69,7 @@
 
 std::optional<admission_refusal>
 entry_admission::check(std::span<const service_cost> costs, shed_key key,
-                       time_point /*now*/)
+                       time_point now)
 {
     const auto cls = static_cast<std::size_t>(class_of(key));
     const double position =
@@ -83,7 +83,7 @@
         const bool tighter = !refusal || share < refusal->admitted;
         if (position >= share && tighter)
         {
-            refusal = {cost.service, state.pressure, share};
+            refusal = {cost.service, state.pressure, now - state.heard, share};
         }
     }
     return refusal;
