--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -241,7 +241,14 @@
                      [this] { sweep(); });
 }
 
-server::~server() = default;
+server::~server()
+{
+    // A connection takes its exchange out of the other map when it ends.
+    for (auto* connection : all())
+    {
+        remove(connection);
+    }
+}
 
 absl::Status server::listen(const config::endpoint& address)
 {
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -230,6 +230,15 @@
     EXPECT_TRUE(answer.contains("Connection: close"));
 }
 
+TEST_F(http_server, ends_while_requests_wait_for_their_answers)
+{
+    auto first = connect("GET /1 HTTP/1.1\r\n\r\n");
+    auto second = connect("GET /2 HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(wait_for([&] { return handler.requests.size() == 2; }));
+    target.reset();
+    EXPECT_EQ(handler.gone.size(), 2U);
+}
+
 // A backend server that does what a test tells it.
 class scripted_backend
 {
--- a/src/jujubespan/mesh/entry_admission.cpp
+++ b/src/jujubespan/mesh/entry_admission.cpp
@@ -15,7 +15,7 @@
 constexpr double pressure_weight = 0.25; // of one report
 constexpr double demand_weight = 0.06;   // of one interval
 // Pressure that the admitted share is steered to.
-constexpr double target_pressure = 1.4;
+constexpr double target_pressure = 1.2;
 // The pressure of now follows from what was admitted about this long ago;
 // requests reach the services behind their first one late.
 constexpr double delay_intervals = 10;
@@ -25,7 +25,7 @@
 constexpr double recovery = 0.05;    // in one interval without news
 constexpr double lowest_pressure = 0.05;
 // A longer queue does not mean that more was admitted too much.
-constexpr double highest_pressure = 1.9;
+constexpr double highest_pressure = 1.6;
 // Most of those that call the service cannot reach any instance.
 constexpr double unreachable_pressure = 4;
 constexpr double least_admitted = 0.05;
