--- a/include/jujubespan/mesh/instance_directory.hpp
+++ b/include/jujubespan/mesh/instance_directory.hpp
@@ -26,6 +26,9 @@
 
 /// @brief The instances that discovery lists.
 ///
+/// An address has one backend server at a time: of two entries with the same
+/// address the one that was created later holds, the other counts as removed.
+///
 /// Entries lapse while discovery is away although their instances live; they
 /// come back soon after it returns. Removals seen then are held for a while.
 class instance_directory
@@ -56,7 +59,7 @@
     [[nodiscard]] const instance*
     at_address(std::string_view backend_address) const;
 
-    [[nodiscard]] std::vector<instance> of(std::string_view service) const;
+    /// @brief The instances that hold their addresses.
     [[nodiscard]] std::vector<instance> all() const;
     [[nodiscard]] std::size_t size() const { return instances_.size(); }
     [[nodiscard]] std::size_t held() const { return held_.size(); }
@@ -64,8 +67,10 @@
 private:
     [[nodiscard]] bool holds(time_point now) const;
     void erase(const std::string& id);
+    [[nodiscard]] bool superseded(const instance& item) const;
 
     string_map<instance> instances_;
+    string_map<std::uint64_t> newest_;  // listing that holds an address
     string_map<time_point> held_;       // removal of an id, when it is due
     string_map<std::uint64_t> removed_; // lifetime that was removed
     std::optional<time_point> interrupted_at_;
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -150,6 +150,14 @@
     }
     call.message.caller_service = options_.service;
     call.message.request = engine::for_backend(std::move(request));
+    // The call carries them as fields of its own.
+    std::erase_if(
+        call.message.request.headers,
+        [this](const http_header& header)
+        {
+            return same_header_name(header.name, options_.names.request_id) ||
+                   same_header_name(header.name, options_.names.deadline);
+        });
     launch(std::move(call), engine::refuse(reason::no_upstream), now);
 }
 
@@ -513,7 +521,8 @@
         call.instance, version(), to_string(value.result),
         to_string(value.reason), value.response.status, call.tried.size(),
         milliseconds(now - call.arrived));
-    clients_.respond(call.exchange, to_response(value, call.path));
+    clients_.respond(call.exchange,
+                     to_response(value, call.path, call.message.request_id));
 }
 
 void egress::refuse(const open_call& call, const answer& value)
@@ -528,15 +537,17 @@
             call.path == nullptr ? std::string("-") : call.path->name,
             version(), to_string(value.result), to_string(value.reason));
     }
-    clients_.respond(call.exchange, to_response(value, call.path));
+    clients_.respond(call.exchange,
+                     to_response(value, call.path, call.message.request_id));
 }
 
-http_response egress::to_response(const answer& value, const route* path)
+http_response egress::to_response(const answer& value, const route* path,
+                                  const std::string& request_id)
 {
     if (value.result == outcome::answered)
     {
         http_response response = value.response;
-        engine::strip_response(response);
+        response.headers.push_back({options_.names.request_id, request_id});
         return response;
     }
     http_response response;
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -162,8 +162,15 @@
     EXPECT_EQ(peers.calls[0].caller_service, "own");
     EXPECT_EQ(peers.calls[0].deadline, now + 300ms);
     EXPECT_FALSE(peers.calls[0].instance.empty());
+    EXPECT_TRUE(
+        find_header(peers.calls[0].request.headers, options.names.request_id)
+            .empty())
+        << "travels as a field";
     reply(answered(200));
     EXPECT_EQ(status(), 200U);
+    EXPECT_EQ(
+        find_header(clients.responses[1].headers, options.names.request_id),
+        "id-1");
 }
 
 TEST_F(way_out, request_is_answered_at_its_routes_timeout)
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -1,5 +1,6 @@
 #include "jujubespan/mesh/guard.hpp"
 
+#include "jujubespan/engine/http_mapping.hpp"
 #include "jujubespan/metrics/log.hpp"
 
 #include <fmt/format.h>
@@ -167,6 +168,7 @@
                    same_header_name(header.name, names.caller_service) ||
                    same_header_name(header.name, names.expected_instance);
         });
+    request.headers.push_back({names.request_id, message.request_id});
     request.headers.push_back(
         {names.deadline,
          fmt::format("{}", milliseconds(message.deadline - now))});
@@ -232,6 +234,10 @@
     }
     answer value;
     value.response = std::move(response);
+    engine::strip_response(value.response);
+    // The caller's node knows it.
+    std::erase_if(value.response.headers, [&](const http_header& header)
+                  { return same_header_name(header.name, names.request_id); });
     return value;
 }
 
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -113,6 +113,7 @@
     EXPECT_EQ(find_header(headers, names.expected_instance), "i-1");
     EXPECT_EQ(find_header(headers, names.caller_service), "caller");
     EXPECT_EQ(find_header(headers, names.deadline), "700");
+    EXPECT_EQ(find_header(headers, names.request_id), "id-1");
 }
 
 TEST_F(guarding, signed_answer_is_passed_on)
--- a/src/jujubespan/mesh/instance_directory.cpp
+++ b/src/jujubespan/mesh/instance_directory.cpp
@@ -26,6 +26,14 @@
         removed_.erase(removed);
     }
     instances_[item.id] = item;
+    auto& newest = newest_[item.backend_address];
+    newest = std::max(newest, item.listing);
+}
+
+bool instance_directory::superseded(const instance& item) const
+{
+    const auto newest = newest_.find(item.backend_address);
+    return newest != newest_.end() && item.listing < newest->second;
 }
 
 void instance_directory::remove(std::string_view id, time_point now)
@@ -118,6 +126,10 @@
 instance_state instance_directory::state(std::string_view id) const
 {
     const auto found = instances_.find(id);
+    if (found != instances_.end() && superseded(found->second))
+    {
+        return instance_state::removed;
+    }
     if (found != instances_.end())
     {
         return found->second.leaving ? instance_state::leaving
@@ -130,25 +142,23 @@
 const instance*
 instance_directory::at_address(std::string_view backend_address) const
 {
-    const instance* result = nullptr;
-    for (const auto& [id, item] : instances_)
-    {
-        const bool here = item.backend_address == backend_address;
-        // After a restart under a new id the older entry lingers for a while.
-        if (here && (result == nullptr || item.lifetime > result->lifetime))
-        {
-            result = &item;
-        }
-    }
-    return result;
+    const auto found = std::find_if(instances_.begin(), instances_.end(),
+                                    [&](const auto& entry)
+                                    {
+                                        return entry.second.backend_address ==
+                                                   backend_address &&
+                                               !superseded(entry.second);
+                                    });
+    return found == instances_.end() ? nullptr : &found->second;
 }
 
-std::vector<instance> instance_directory::of(std::string_view service) const
+std::vector<instance> instance_directory::all() const
 {
     std::vector<instance> result;
+    result.reserve(instances_.size());
     for (const auto& [id, item] : instances_)
     {
-        if (item.service == service)
+        if (!superseded(item))
         {
             result.push_back(item);
         }
@@ -156,15 +166,4 @@
     return result;
 }
 
-std::vector<instance> instance_directory::all() const
-{
-    std::vector<instance> result;
-    result.reserve(instances_.size());
-    for (const auto& [id, item] : instances_)
-    {
-        result.push_back(item);
-    }
-    return result;
-}
-
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/instance_directory_test.cpp
+++ b/src/jujubespan/mesh/instance_directory_test.cpp
@@ -91,11 +91,19 @@
     EXPECT_EQ(list.state("a"), instance_state::usable);
 }
 
-TEST_F(directory, newest_lifetime_owns_an_address)
+// Pattern: all machines lose power; servers come back under new ids while
+// their old entries still wait to lapse. The clocks may have jumped.
+TEST_F(directory, later_entry_holds_the_address)
 {
-    list.put(make_instance("b", 5));
+    auto restarted = make_instance("b", 0);
+    restarted.listing = 7;
+    list.put(restarted);
     ASSERT_NE(list.at_address("10.0.0.1:8080"), nullptr);
     EXPECT_EQ(list.at_address("10.0.0.1:8080")->id, "b");
+    EXPECT_EQ(list.state("a"), instance_state::removed);
+    ASSERT_EQ(list.all().size(), 1U);
+    list.put(make_instance("a")); // A late report of the old entry.
+    EXPECT_EQ(list.all().front().id, "b");
 }
 
 } // namespace
