--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -159,8 +159,7 @@
     const bool near = m.info.failure_domain == domain_ || m.latency == 0;
     const double domain = near ? 0 : other_domain_cost;
     const double full = full_cost * std::max(0.0, load - nearly_full);
-    return (std::sqrt(latency) + failure_cost * failures_of(m, now)) *
-               (idle_cost + load) +
+    return (latency + failure_cost * failures_of(m, now)) * (idle_cost + load) +
            full + domain;
 }
 
--- a/src/jujubespan/mesh/balancer_test.cpp
+++ b/src/jujubespan/mesh/balancer_test.cpp
@@ -218,5 +218,18 @@
     EXPECT_EQ(target.pressure(now), unavailable_pressure);
 }
 
+// Pattern: half of a small service turns twelve times slower under load. What
+// is sent there takes longer than its caller waits.
+TEST_F(balancing, much_slower_instances_stay_nearly_empty_under_load)
+{
+    const std::map<std::string, duration> latencies{
+        {"a", 20ms}, {"b", 240ms}, {"c", 20ms}};
+    send(300, {}, latencies);
+    tell("a", 46);
+    tell("b", 10);
+    tell("c", 46);
+    EXPECT_LT(send(150, {}, latencies)["b"], 15);
+}
+
 } // namespace
 } // namespace jujubespan::mesh
