--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -60,7 +60,8 @@
     /// @brief The sender of a request closed its connection.
     void on_gone(std::uint64_t exchange, time_point now);
 
-    void on_reply(std::uint64_t call, routed_reply reply, time_point now);
+    void on_reply(std::uint64_t call, const routed_reply& reply,
+                  time_point now);
 
     /// @brief Calls in flight to a node will not be answered.
     void on_peer_lost(std::string_view peer, time_point now);
--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -37,8 +37,9 @@
 class mesh_loop final : private http::request_handler, private mesh::client_port
 {
 public:
-    mesh_loop(const config::mesh_settings& options, mesh::header_names names,
-              std::uint64_t incarnation, zmq::context_t& context);
+    mesh_loop(const config::mesh_settings& options,
+              const mesh::header_names& names, std::uint64_t incarnation,
+              zmq::context_t& context);
 
     /// @brief Opens all endpoints; call on the traffic thread.
     absl::Status start();
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -3,10 +3,10 @@
 #include "jujubespan/http/client.hpp"
 #include "jujubespan/http/server.hpp"
 
+#include "jujubespan/http/testing.hpp"
+
 #include <gtest/gtest.h>
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
@@ -23,37 +23,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr int patience = 5000; // milliseconds
-
-QCoreApplication& app()
-{
-    static int argc = 1;
-    static char name[] = "test";
-    static char* argv[] = {name, nullptr};
-    static QCoreApplication instance(argc, argv);
-    return instance;
-}
-
-// Runs the event loop until a condition holds.
-bool wait_for(const std::function<bool()>& done)
-{
-    app();
-    QElapsedTimer timer;
-    timer.start();
-    while (!done() && timer.elapsed() < patience)
-    {
-        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
-    }
-    return done();
-}
-
-config::endpoint free_endpoint()
-{
-    app();
-    QTcpServer probe;
-    probe.listen(QHostAddress::LocalHost);
-    return {"127.0.0.1", probe.serverPort()};
-}
+using testing::app;
+using testing::free_endpoint;
+using testing::wait_for;
 
 class recorder final : public request_handler, public response_handler
 {
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -283,7 +283,8 @@
     return call;
 }
 
-void egress::on_reply(std::uint64_t id, routed_reply reply, time_point now)
+void egress::on_reply(std::uint64_t id, const routed_reply& reply,
+                      time_point now)
 {
     const auto found = calls_.find(id);
     if (found == calls_.end())
@@ -438,7 +439,7 @@
     {
         routed_reply reply;
         reply.value = engine::unknown_outcome(reason::peer_lost);
-        on_reply(id, std::move(reply), now);
+        on_reply(id, reply, now);
     }
 }
 
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -113,7 +113,7 @@
         routed_reply message;
         message.value = value;
         message.arrived = arrived;
-        target.on_reply(peers.calls.back().id, std::move(message), now);
+        target.on_reply(peers.calls.back().id, message, now);
     }
 
     static engine::answer answered(unsigned status)
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -52,6 +52,14 @@
         target.apply(directory, now);
     }
 
+    static guard_options options()
+    {
+        guard_options value;
+        value.service = "s";
+        value.backend_address = "10.0.0.1:8080";
+        return value;
+    }
+
     void put(bool leaving)
     {
         instance item;
@@ -100,10 +108,7 @@
     recording_backend backend;
     recording_replies replies;
     instance_directory directory;
-    guard target{{.service = "s", .backend_address = "10.0.0.1:8080"},
-                 shared,
-                 backend,
-                 replies};
+    guard target{options(), shared, backend, replies};
 };
 
 TEST_F(guarding, request_names_instance_caller_and_remaining_time)
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -84,7 +84,7 @@
 } // namespace
 
 mesh_loop::mesh_loop(const config::mesh_settings& options,
-                     mesh::header_names names, std::uint64_t incarnation,
+                     const mesh::header_names& names, std::uint64_t incarnation,
                      zmq::context_t& context)
     : options_(options),
       backend_(options.backend_address, backend_options(names)),
--- a/src/jujubespan/peer/messenger_test.cpp
+++ b/src/jujubespan/peer/messenger_test.cpp
@@ -6,10 +6,9 @@
 #include "jujubespan/peer/codec.hpp"
 #include "jujubespan/peer/peer.pb.h"
 
-#include <gtest/gtest.h>
+#include "jujubespan/policy/event_loop_testing.hpp"
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
+#include <gtest/gtest.h>
 
 #include <array>
 #include <functional>
@@ -19,27 +18,8 @@
 namespace
 {
 
-constexpr int patience = 5000; // milliseconds
-
-QCoreApplication& app()
-{
-    static int argc = 1;
-    static char name[] = "test";
-    static char* argv[] = {name, nullptr};
-    static QCoreApplication instance(argc, argv);
-    return instance;
-}
-
-bool wait_for(const std::function<bool()>& done, int most = patience)
-{
-    QElapsedTimer timer;
-    timer.start();
-    while (!done() && timer.elapsed() < most)
-    {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
-    }
-    return done();
-}
+using testing::app;
+using testing::wait_for;
 
 class recorder final : public message_handler
 {
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -171,7 +171,7 @@
     case v1::Envelope::kReply:
         if (auto value = decode_routed(message.reply()))
         {
-            way_out_->on_reply(message.reply().id(), *std::move(value), now);
+            way_out_->on_reply(message.reply().id(), *value, now);
         }
         return;
     case v1::Envelope::kHeartbeat:
@@ -218,8 +218,7 @@
     {
         mesh::routed_reply refusal;
         refusal.value = engine::refuse(engine::reason::no_upstream, true);
-        way_out_->on_reply(message.call().id(), std::move(refusal),
-                           boot_clock::now());
+        way_out_->on_reply(message.call().id(), refusal, boot_clock::now());
     }
 }
 
