Messages between nodes carry the largest body that clients may send

Cause: the bound of 20 MB on a message was below the platform's bound of 64 MB on a body; such a request would have ended the connection between two nodes and lost every call on it. An unreadable deadline is logged.

--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -77,7 +77,7 @@
 public:
     messenger(zmq::context_t& context, std::string self,
               std::uint64_t incarnation, const config::peer_keys& keys,
-              message_handler& handler, const link_timing& timing = {});
+              message_handler& handler, const link_options& options = {});
     ~messenger();
 
     /// @return an unavailable status that names the address when it is taken.
@@ -127,7 +127,7 @@
     std::uint64_t incarnation_;
     config::peer_keys keys_;
     message_handler& handler_;
-    link_timing timing_;
+    link_options link_options_;
     zmq_socket bound_;
     string_map<peer_address> addresses_;
     string_map<std::unique_ptr<link>> links_;
--- a/include/jujubespan/peer/zmq_socket.hpp
+++ b/include/jujubespan/peer/zmq_socket.hpp
@@ -7,6 +7,7 @@
 #include <QObject>
 #include <QSocketNotifier>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -48,22 +49,23 @@
     bool scheduled_{false};
 };
 
-/// @brief When a connection whose peer is silent is given up.
-struct link_timing
+/// @brief Bounds on a connection between nodes.
+struct link_options
 {
     duration heartbeat{std::chrono::seconds(20)};
-    duration timeout{std::chrono::seconds(40)};
+    duration timeout{std::chrono::seconds(40)}; ///< Silence that ends it.
+    std::int64_t max_message_bytes{20 << 20};
 };
 
 /// @brief Sets bounds and, when keys are given, encryption of a socket that
 /// binds.
 void configure_server(zmq::socket_t& socket, const config::peer_keys& keys,
-                      const link_timing& timing);
+                      const link_options& options);
 
 /// @brief Sets bounds and, when keys are given, encryption.
 /// @param server_key public key of the peer to connect to.
 void configure_client(zmq::socket_t& socket, const config::peer_keys& keys,
-                      std::string_view server_key, const link_timing& timing);
+                      std::string_view server_key, const link_options& options);
 
 } // namespace jujubespan::peer
 
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -219,8 +219,13 @@
 void egress::set_times(const http_request& request, time_point now,
                        open_call& call)
 {
-    const auto given =
-        milliseconds_in(find_header(request.headers, options_.names.deadline));
+    const auto text = find_header(request.headers, options_.names.deadline);
+    const auto given = milliseconds_in(text);
+    if (!given && !text.empty())
+    {
+        log(log_level::warn, "deadline_unreadable", "request={} value=\"{}\"",
+            call.message.request_id, text);
+    }
     call.answer_by = now + given.value_or(default_deadline);
     const auto timeout = call.path->timeout;
     if (timeout > duration::zero() && now + timeout < call.answer_by)
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -68,12 +68,12 @@
 
 messenger::messenger(zmq::context_t& context, std::string self,
                      std::uint64_t incarnation, const config::peer_keys& keys,
-                     message_handler& handler, const link_timing& timing)
+                     message_handler& handler, const link_options& options)
     : context_(context), self_(std::move(self)), incarnation_(incarnation),
-      keys_(keys), handler_(handler), timing_(timing),
+      keys_(keys), handler_(handler), link_options_(options),
       bound_(context, zmq::socket_type::router, [this] { receive_bound(); })
 {
-    configure_server(bound_.raw(), keys_, timing_);
+    configure_server(bound_.raw(), keys_, link_options_);
 }
 
 messenger::~messenger() = default;
@@ -139,7 +139,7 @@
     auto created =
         std::make_unique<link>(*this, std::string(peer), ++next_number, now);
     auto& raw = created->socket.raw();
-    configure_client(raw, keys_, address.public_key, timing_);
+    configure_client(raw, keys_, address.public_key, link_options_);
     zmq_socket_monitor(raw.handle(), created->monitor_name.c_str(),
                        ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED);
     created->monitor.raw().connect(created->monitor_name);
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -12,9 +12,11 @@
 namespace
 {
 
-// A silent connection is noticed well within the time that a client waits.
-constexpr link_timing timing{.heartbeat = std::chrono::milliseconds(700),
-                             .timeout = std::chrono::milliseconds(1200)};
+// A silent connection is noticed well within the time that a client waits. The
+// largest body that clients may send fits into a message with its headers.
+constexpr link_options options{.heartbeat = std::chrono::milliseconds(700),
+                               .timeout = std::chrono::milliseconds(1200),
+                               .max_message_bytes = 66 << 20};
 // The connection to a node that is no longer listed is kept this long, for the
 // answers that are still due.
 constexpr duration answer_lifetime = std::chrono::seconds(30);
@@ -27,7 +29,7 @@
                                    const config::endpoint& self,
                                    std::uint64_t incarnation)
     : self_(config::to_string(self)), address_(self),
-      messenger_(context, self_, incarnation, {}, *this, timing)
+      messenger_(context, self_, incarnation, {}, *this, options)
 {
 }
 
--- a/src/jujubespan/peer/zmq_socket.cpp
+++ b/src/jujubespan/peer/zmq_socket.cpp
@@ -6,21 +6,20 @@
 namespace
 {
 
-constexpr int high_water_mark = 1000; // messages
-constexpr std::int64_t max_message_bytes = 20 << 20;
+constexpr int high_water_mark = 1000;   // messages
 constexpr int connect_timeout = 1000;   // milliseconds
 constexpr int handshake_timeout = 2000; // milliseconds
 constexpr int reconnect_interval = 50;  // milliseconds
 constexpr int longest_reconnect = 1000; // milliseconds
 
-void set_bounds(zmq::socket_t& socket, const link_timing& timing)
+void set_bounds(zmq::socket_t& socket, const link_options& options)
 {
     socket.set(zmq::sockopt::sndhwm, high_water_mark);
     socket.set(zmq::sockopt::rcvhwm, high_water_mark);
-    socket.set(zmq::sockopt::maxmsgsize, max_message_bytes);
-    const auto timeout = static_cast<int>(milliseconds(timing.timeout));
+    socket.set(zmq::sockopt::maxmsgsize, options.max_message_bytes);
+    const auto timeout = static_cast<int>(milliseconds(options.timeout));
     socket.set(zmq::sockopt::heartbeat_ivl,
-               static_cast<int>(milliseconds(timing.heartbeat)));
+               static_cast<int>(milliseconds(options.heartbeat)));
     socket.set(zmq::sockopt::heartbeat_timeout, timeout);
     socket.set(zmq::sockopt::tcp_maxrt, timeout);
     socket.set(zmq::sockopt::connect_timeout, connect_timeout);
@@ -95,9 +94,9 @@
 }
 
 void configure_server(zmq::socket_t& socket, const config::peer_keys& keys,
-                      const link_timing& timing)
+                      const link_options& options)
 {
-    set_bounds(socket, timing);
+    set_bounds(socket, options);
     socket.set(zmq::sockopt::router_mandatory, true);
     if (keys.enabled())
     {
@@ -107,9 +106,9 @@
 }
 
 void configure_client(zmq::socket_t& socket, const config::peer_keys& keys,
-                      std::string_view server_key, const link_timing& timing)
+                      std::string_view server_key, const link_options& options)
 {
-    set_bounds(socket, timing);
+    set_bounds(socket, options);
     socket.set(zmq::sockopt::immediate, true);
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_interval);
     socket.set(zmq::sockopt::reconnect_ivl_max, longest_reconnect);
