--- a/include/jujubespan/http/client.hpp
+++ b/include/jujubespan/http/client.hpp
@@ -34,6 +34,8 @@
     /// Longest time that an idle connection is used again. A server that
     /// names a shorter one is followed.
     duration idle_time{std::chrono::seconds(1)};
+    /// Time to open a connection before it counts as unreachable.
+    duration connect_time{std::chrono::seconds(1)};
     /// Header that the server echoes; a response with another value belongs
     /// to an earlier request and is skipped. Empty: not checked.
     std::string echo_header{};
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -21,7 +21,6 @@
 namespace
 {
 
-constexpr auto connect_timeout = std::chrono::seconds(1);
 // A connection is given up this long before its server would close it.
 constexpr duration idle_margin = std::chrono::milliseconds(1500);
 constexpr std::size_t read_size = 16U << 10U;
@@ -106,7 +105,10 @@
         ++owner_.connects_;
         socket_->connectToHost(
             QHostAddress(QString::fromStdString(address.host)), address.port);
-        QTimer::singleShot(connect_timeout, &guard_,
+        const auto limit =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                owner_.options_.connect_time);
+        QTimer::singleShot(limit, &guard_,
                            [this]
                            {
                                if (!sent_ && exchange_ != 0)
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -11,9 +11,12 @@
 #include <QTcpSocket>
 #include <QTimer>
 
+#include <arpa/inet.h>
+#include <array>
 #include <functional>
 #include <map>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace jujubespan::http
@@ -470,5 +473,35 @@
     EXPECT_EQ(target.idle(), 0U);
 }
 
+// Pattern: a server is dark: it neither accepts nor refuses connections.
+TEST(http_client, connection_that_does_not_open_in_time_is_unreachable)
+{
+    // A full queue of connections drops the opening packets of further ones.
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&address), size), 0);
+    ASSERT_EQ(listen(listener, 0), 0);
+    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    const config::endpoint endpoint{"127.0.0.1", ntohs(address.sin_port)};
+    std::array<QTcpSocket, 2> fillers;
+    for (auto& filler : fillers)
+    {
+        filler.connectToHost("127.0.0.1", endpoint.port);
+    }
+    wait_for([] { return false; }, 100);
+
+    recorder handler;
+    auto options = checked_options();
+    options.connect_time = 250ms;
+    client target(endpoint, options, handler);
+    target.start(1, get_with_id("1"));
+    EXPECT_TRUE(wait_for([&] { return handler.ends.contains(1); }, 600));
+    EXPECT_EQ(handler.ends[1].first, client_end::unreachable);
+    close(listener);
+}
+
 } // namespace
 } // namespace jujubespan::http
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -22,6 +22,9 @@
 constexpr double connection_share = 0.8;
 constexpr std::size_t most_idle = 1024;
 constexpr duration idle_time = std::chrono::seconds(8);
+// A backend server next door takes a connection within milliseconds; one that
+// does not is full or dead, and the request can still run elsewhere.
+constexpr duration backend_connect_time = std::chrono::milliseconds(250);
 // A backend server next door that acknowledges nothing for this long is dead.
 constexpr duration backend_silence = std::chrono::seconds(2);
 constexpr std::size_t largest_body = 64U << 20U;
@@ -38,6 +41,7 @@
     value.limits = {largest_header, largest_body};
     value.max_idle = most_idle;
     value.idle_time = idle_time;
+    value.connect_time = backend_connect_time;
     value.echo_header = names.request_id;
     value.close_delimited = true;
     value.silence = backend_silence;
