--- a/include/jujubespan/mesh/entry_admission.hpp
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -36,7 +36,7 @@
     std::string service; ///< The one that has no room.
     double pressure{0};
     duration age{};     ///< Of the last news of the pressure.
-    double admitted{0}; ///< Share of the request's class that is admitted.
+    double admitted{0}; ///< Share of the request's route that is admitted.
 };
 
 /// @brief Decides at the entry which requests are admitted, by the pressure
@@ -45,8 +45,10 @@
 /// Each service has a share of the offered load that is admitted. It is the
 /// share admitted some time ago, corrected by the ratio of the target to the
 /// pressure that followed from it. The share is given to the classes in order,
-/// so that a lower class gets what those above it leave; within a class the
-/// position of the request decides, which is the same for all services.
+/// so that a lower class gets what those above it leave. Within a class it is
+/// divided among the routes by max-min fairness: a route that asks for little
+/// is not refused because another asks for much. Within a route the position
+/// of the request decides, which is the same for all services.
 class entry_admission
 {
 public:
@@ -54,9 +56,11 @@
     void on_pressure(std::string_view service, double pressure, time_point now);
 
     /// @brief Decides on a request and counts it as offered.
-    /// @param costs of the request's route.
+    /// @param route name of the request's route.
+    /// @param costs of that route.
     /// @return the reason when the request is not admitted.
-    std::optional<admission_refusal> check(std::span<const service_cost> costs,
+    std::optional<admission_refusal> check(std::string_view route,
+                                           std::span<const service_cost> costs,
                                            shed_key key, time_point now);
 
     /// @brief Adjusts the shares when an interval has passed.
@@ -72,7 +76,14 @@
     void reset();
 
 private:
-    using by_class = std::array<double, request_class_count>;
+    struct route_demand
+    {
+        std::string route;
+        double offered{0}; ///< Slot-seconds in this interval.
+        double demand{0};  ///< Smoothed.
+        double share{1};   ///< Part that is admitted.
+    };
+    using class_demand = std::vector<route_demand>;
 
     struct service_state
     {
@@ -80,11 +91,13 @@
         time_point heard{};
         double admitted{1};
         double admitted_before{1}; ///< Mean of the time that now shows.
-        by_class offered{};        ///< Slot-seconds in this interval.
-        by_class demand{};         ///< Smoothed.
+        std::array<class_demand, request_class_count> demand;
     };
 
-    static double share_of(const service_state& state, std::size_t cls);
+    static route_demand& demand_of(class_demand& demand,
+                                   std::string_view route);
+    static void measure(service_state& state);
+    static void divide(class_demand& demand, double budget);
     static void adjust(service_state& state, time_point now);
 
     string_map<service_state> services_;
--- a/include/jujubespan/policy/instance.hpp
+++ b/include/jujubespan/policy/instance.hpp
@@ -23,7 +23,7 @@
     bool leaving{false};
     std::string backend_address; ///< Of the backend server; may be unknown.
     std::uint64_t lifetime{0};   ///< Differs at each start; zero: unknown.
-    std::uint64_t listing{0}; ///< Order in which entries were created.
+    std::uint64_t listing{0};    ///< Order in which entries were created.
     time_point warm_at{};        ///< The backend server is slow until then.
 
     bool operator==(const instance&) const = default;
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -201,8 +201,8 @@
     allowance_.on_client_request(message.service, now);
     message.key = make_shed_key(class_of_priority(call.path->priority),
                                 message.request_id, 1);
-    const auto refusal =
-        shared_.admission.check(costs_.of(message.route), message.key, now);
+    const auto refusal = shared_.admission.check(
+        message.route, costs_.of(message.route), message.key, now);
     if (!refusal)
     {
         return std::nullopt;
--- a/src/jujubespan/mesh/entry_admission.cpp
+++ b/src/jujubespan/mesh/entry_admission.cpp
@@ -29,6 +29,9 @@
 // Most of those that call the service cannot reach any instance.
 constexpr double unreachable_pressure = 4;
 constexpr double least_admitted = 0.05;
+// A route with less demand than this, in slot-seconds of an interval, is
+// forgotten.
+constexpr double forgotten_demand = 1e-6;
 // Pressures below this need no reaction from callers.
 constexpr double reported_pressure = 0.5;
 
@@ -45,30 +48,23 @@
     state.heard = now;
 }
 
-double entry_admission::share_of(const service_state& state, std::size_t cls)
+entry_admission::route_demand&
+entry_admission::demand_of(class_demand& demand, std::string_view route)
 {
-    if (state.pressure >= unreachable_pressure)
+    const auto found = std::find_if(demand.begin(), demand.end(),
+                                    [route](const route_demand& item)
+                                    { return item.route == route; });
+    if (found != demand.end())
     {
-        return least_admitted;
+        return *found;
     }
-    if (state.admitted >= 1)
-    {
-        return 1;
-    }
-    const double total =
-        std::accumulate(state.demand.begin(), state.demand.end(), 0.0);
-    double left = state.admitted * total;
-    for (std::size_t i = 0; i < cls; ++i)
-    {
-        left -= state.demand[i];
-    }
-    return state.demand[cls] > 0
-               ? std::clamp(left / state.demand[cls], 0.0, 1.0)
-               : 1;
+    demand.push_back({std::string(route)});
+    return demand.back();
 }
 
 std::optional<admission_refusal>
-entry_admission::check(std::span<const service_cost> costs, shed_key key,
+entry_admission::check(std::string_view route,
+                       std::span<const service_cost> costs, shed_key key,
                        time_point now)
 {
     const auto cls = static_cast<std::size_t>(class_of(key));
@@ -78,8 +74,11 @@
     for (const auto& cost : costs)
     {
         auto& state = services_[cost.service];
-        state.offered[cls] += cost.busy;
-        const double share = share_of(state, cls);
+        auto& demand = demand_of(state.demand[cls], route);
+        demand.offered += cost.busy;
+        const double share = state.pressure >= unreachable_pressure
+                                 ? least_admitted
+                                 : demand.share;
         const bool tighter = !refusal || share < refusal->admitted;
         if (position >= share && tighter)
         {
@@ -89,13 +88,43 @@
     return refusal;
 }
 
-void entry_admission::adjust(service_state& state, time_point now)
+void entry_admission::measure(service_state& state)
+{
+    for (auto& routes : state.demand)
+    {
+        for (auto& item : routes)
+        {
+            item.demand += demand_weight * (item.offered - item.demand);
+            item.offered = 0;
+        }
+        // Routes come and go with the configuration.
+        std::erase_if(routes, [](const route_demand& item)
+                      { return item.demand < forgotten_demand; });
+    }
+}
+
+// Gives each route an equal part of the budget; what a route does not need
+// goes to those that ask for more.
+void entry_admission::divide(class_demand& demand, double budget)
 {
-    for (std::size_t i = 0; i < request_class_count; ++i)
+    std::sort(demand.begin(), demand.end(),
+              [](const route_demand& a, const route_demand& b)
+              { return a.demand < b.demand; });
+    double left = std::max(0.0, budget);
+    std::size_t waiting = demand.size();
+    for (auto& item : demand)
     {
-        state.demand[i] += demand_weight * (state.offered[i] - state.demand[i]);
+        const double part =
+            std::min(item.demand, left / static_cast<double>(waiting));
+        item.share = item.demand > 0 ? part / item.demand : 1;
+        left -= part;
+        --waiting;
     }
-    state.offered.fill(0);
+}
+
+void entry_admission::adjust(service_state& state, time_point now)
+{
+    measure(state);
     state.admitted_before +=
         (state.admitted - state.admitted_before) / delay_intervals;
     if (now - state.heard <= pressure_lifetime)
@@ -112,6 +141,23 @@
         state.admitted += recovery;
     }
     state.admitted = std::clamp(state.admitted, least_admitted, 1.0);
+
+    double total = 0;
+    for (const auto& routes : state.demand)
+    {
+        total = std::accumulate(routes.begin(), routes.end(), total,
+                                [](double sum, const route_demand& item)
+                                { return sum + item.demand; });
+    }
+    double left = state.admitted * total;
+    for (auto& routes : state.demand)
+    {
+        divide(routes, left);
+        for (const auto& item : routes)
+        {
+            left -= item.demand * item.share;
+        }
+    }
 }
 
 void entry_admission::on_tick(time_point now)
--- a/src/jujubespan/mesh/entry_admission_test.cpp
+++ b/src/jujubespan/mesh/entry_admission_test.cpp
@@ -85,22 +85,28 @@
         {
             offer(request_class::critical, critical_rate, critical);
             offer(request_class::sheddable_plus, low_rate, low);
+            offer(request_class::sheddable_plus, light_rate, light, "light",
+                  &light_costs);
             pressure = deep.step();
             target.on_pressure("deep", pressure, now);
             target.on_tick(now);
         }
     }
 
-    void offer(request_class cls, double rate, totals& into)
+    void offer(request_class cls, double rate, totals& into,
+               std::string_view route = "main",
+               const std::vector<service_cost>* costs_of_route = nullptr)
     {
         std::poisson_distribution<int> arrivals(rate / 100);
         for (int i = arrivals(random); i > 0; --i)
         {
             ++into.offered;
-            if (!target.check(costs, key_of(cls, random), now))
+            const auto& spent =
+                costs_of_route == nullptr ? costs : *costs_of_route;
+            if (!target.check(route, spent, key_of(cls, random), now))
             {
                 ++into.admitted;
-                deep.admit(costs.front().busy);
+                deep.admit(spent.front().busy);
             }
         }
     }
@@ -112,6 +118,9 @@
     time_point now{start};
     totals critical;
     totals low;
+    totals light; // another route of the low class, with little demand
+    double light_rate{0};
+    std::vector<service_cost> light_costs{{"deep", 1, 0.1}};
     double pressure{0};
 };
 
@@ -150,7 +159,7 @@
     const std::vector<service_cost> other{{"shallow", 1, 0.3}};
     for (int i = 0; i < 100; ++i)
     {
-        EXPECT_EQ(target.check(other,
+        EXPECT_EQ(target.check("other", other,
                                key_of(request_class::sheddable_plus, random),
                                now),
                   std::nullopt);
@@ -206,10 +215,10 @@
     int admitted = 0;
     for (int i = 0; i < 1000; ++i)
     {
-        admitted +=
-            target.check(costs, key_of(request_class::critical, random), now)
-                ? 0
-                : 1;
+        admitted += target.check("main", costs,
+                                 key_of(request_class::critical, random), now)
+                        ? 0
+                        : 1;
     }
     EXPECT_LT(admitted, 100) << "only probes";
     EXPECT_GT(admitted, 0);
@@ -219,5 +228,18 @@
     EXPECT_GT(low.share(), 0.9) << "back when an instance is";
 }
 
+// Pattern: a heavy route and a light one of the same priority press on the
+// same small service. Refusing the light one frees next to nothing.
+TEST_F(admission, light_route_is_not_refused_for_a_heavy_one)
+{
+    light_rate = 35; // 3.5 of 138 slots
+    run(300, 500, 5s);
+    light = {};
+    low = {};
+    run(600, 1250, 10s); // 222 of 138 slots
+    EXPECT_GT(light.share(), 0.97);
+    EXPECT_LT(low.share(), 0.6);
+}
+
 } // namespace
 } // namespace jujubespan::mesh
