--- a/include/jujubespan/mesh/call.hpp
+++ b/include/jujubespan/mesh/call.hpp
@@ -29,7 +29,9 @@
     time_point deadline{};
     shed_key key{0};
     bool idempotent{false};
-    bool under_way{false}; ///< Called by a request that already runs.
+    /// Goes before others of its class: called by a request that already runs,
+    /// or with too little time to wait.
+    bool under_way{false};
     http_request request;
 };
 
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -31,6 +31,9 @@
 constexpr double return_share = 0.25;
 constexpr duration shortest_return = std::chrono::milliseconds(50);
 constexpr duration longest_return = std::chrono::seconds(1);
+// A request with a shorter objective is late when it waits behind calls that
+// keep coming from requests of its class.
+constexpr duration too_short_to_wait = std::chrono::milliseconds(500);
 // Part of a repeat's mean cost that is paid, so that dear ones are covered.
 constexpr double cost_margin = 1.2;
 // Share of the slots in use below which a refusal is not for lack of room.
@@ -201,6 +204,7 @@
     allowance_.on_client_request(message.service, now);
     message.key = make_shed_key(class_of_priority(call.path->priority),
                                 message.request_id, 1);
+    message.under_way = call.path->objective <= too_short_to_wait;
     const auto refusal = shared_.admission.check(
         message.route, costs_.of(message.route), message.key, now);
     if (!refusal)
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -332,5 +332,22 @@
     EXPECT_EQ(status(1), 200U);
 }
 
+// Pattern: a request with an objective of 300 ms waits at a full guard behind
+// the calls of longer requests of its class.
+TEST_F(way_out, request_with_a_short_objective_does_not_wait_for_longer_ones)
+{
+    auto next = std::make_shared<configuration>();
+    next->version = 2;
+    next->routes = {make_route("slow", "/slow/", true),
+                    make_route("quick", "/quick/", true)};
+    next->routes[1].objective = 300ms;
+    target.apply(std::move(next));
+    target.apply(directory, now);
+    request(1, "/slow/1", "id-1");
+    request(2, "/quick/1", "id-2");
+    EXPECT_FALSE(peers.calls[0].under_way);
+    EXPECT_TRUE(peers.calls[1].under_way);
+}
+
 } // namespace
 } // namespace jujubespan::mesh
