--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -79,7 +79,6 @@
     /// @brief Refuses new requests as not run; those in flight go on.
     void stop_taking() { closed_ = true; }
 
-    [[nodiscard]] bool configured() const { return table_.has_value(); }
     [[nodiscard]] std::uint64_t version() const
     {
         return table_ ? table_->version() : 0;
--- a/include/jujubespan/mesh/entry_admission.hpp
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -72,9 +72,6 @@
     /// @brief Share of the offered load of a service that is admitted.
     [[nodiscard]] double admitted(std::string_view service) const;
 
-    /// @brief Forgets all pressures, as after a pause.
-    void reset();
-
 private:
     struct route_demand
     {
--- a/include/jujubespan/mesh/running_calls.hpp
+++ b/include/jujubespan/mesh/running_calls.hpp
@@ -38,8 +38,6 @@
     /// @brief The running request that made a call; null when not known.
     [[nodiscard]] running_call* parent_of(std::string_view request_id);
 
-    [[nodiscard]] std::size_t size() const { return calls_.size(); }
-
 private:
     string_map<running_call> calls_;
 };
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -204,7 +204,9 @@
     allowance_.on_client_request(message.service, now);
     message.key = make_shed_key(class_of_priority(call.path->priority),
                                 message.request_id, 1);
-    message.under_way = call.path->objective <= too_short_to_wait;
+    const auto objective = call.path->objective;
+    message.under_way =
+        objective > duration::zero() && objective <= too_short_to_wait;
     const auto refusal = shared_.admission.check(
         message.route, costs_.of(message.route), message.key, now);
     if (!refusal)
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -340,13 +340,17 @@
     next->version = 2;
     next->routes = {make_route("slow", "/slow/", true),
                     make_route("quick", "/quick/", true)};
+    next->routes.push_back(make_route("any", "/any/", true));
     next->routes[1].objective = 300ms;
+    next->routes[2].objective = 0ms; // None is set.
     target.apply(std::move(next));
     target.apply(directory, now);
     request(1, "/slow/1", "id-1");
     request(2, "/quick/1", "id-2");
+    request(3, "/any/1", "id-3");
     EXPECT_FALSE(peers.calls[0].under_way);
     EXPECT_TRUE(peers.calls[1].under_way);
+    EXPECT_FALSE(peers.calls[2].under_way);
 }
 
 } // namespace
--- a/src/jujubespan/mesh/entry_admission.cpp
+++ b/src/jujubespan/mesh/entry_admission.cpp
@@ -193,13 +193,4 @@
     return found == services_.end() ? 1 : found->second.admitted;
 }
 
-void entry_admission::reset()
-{
-    for (auto& [service, state] : services_)
-    {
-        state.pressure = 0;
-        state.heard = {};
-    }
-}
-
 } // namespace jujubespan::mesh
