--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBESPAN_MESH_BALANCER_HPP
 #define JUJUBESPAN_MESH_BALANCER_HPP
 
+#include "jujubespan/mesh/attempt_end.hpp"
 #include "jujubespan/mesh/entry_admission.hpp"
 #include "jujubespan/policy/instance.hpp"
 #include "jujubespan/policy/string_map.hpp"
@@ -18,17 +19,6 @@
 namespace jujubespan::mesh
 {
 
-/// @brief How one attempt at an instance ended.
-enum class attempt_end
-{
-    served,
-    full,        ///< Its node or backend server had no room.
-    rejected,    ///< Its backend server refused it though it had room.
-    failed,      ///< It may have run and brought no usable answer.
-    unreachable, ///< Its node cannot be reached.
-    withdrawn    ///< Given up by this node; says nothing about the instance.
-};
-
 /// @brief Chooses among the instances of one service.
 ///
 /// The cost of an instance grows with its measured latency, its load and the
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -126,8 +126,7 @@
     void refuse(const open_call& call, const engine::answer& value);
     void withdraw(std::uint64_t id, open_call& call, time_point now);
     [[nodiscard]] open_call take(call_map::iterator found);
-    http_response to_response(const engine::answer& value, const route* path,
-                              const std::string& request_id);
+    void respond(const open_call& call, const engine::answer& value);
     [[nodiscard]] balancer& balancer_of(std::string_view service);
 
     egress_options options_;
--- /dev/null
+++ b/src/jujubespan/mesh/client_response.cpp
@@ -0,0 +1,49 @@
+#include "jujubespan/mesh/client_response.hpp"
+
+#include "jujubespan/engine/http_mapping.hpp"
+#include "jujubespan/policy/retry_budget.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace jujubespan::mesh
+{
+
+namespace
+{
+
+using engine::outcome;
+
+// A refused client is asked back after this part of the objective, so that it
+// can still be answered within it.
+constexpr double return_share = 0.25;
+constexpr duration shortest_return = std::chrono::milliseconds(50);
+constexpr duration longest_return = std::chrono::seconds(1);
+
+} // namespace
+
+http_response client_response(const engine::answer& value, duration objective,
+                              double random)
+{
+    if (value.result == outcome::answered)
+    {
+        return value.response;
+    }
+    http_response response;
+    response.status = engine::status_of(value.result, value.reason);
+    response.headers = {
+        {"Jujubespan-Reason", std::string(to_string(value.reason))}};
+    if (value.result == outcome::not_run)
+    {
+        const duration base =
+            std::clamp(from_seconds(seconds(objective) * return_share),
+                       shortest_return, longest_return);
+        const auto wait = jittered_retry_after(base, random);
+        response.headers.push_back(
+            {"Retry-After", fmt::format("{:.3f}", seconds(wait))});
+    }
+    return response;
+}
+
+} // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -1,10 +1,9 @@
 #include "jujubespan/mesh/egress.hpp"
 
 #include "jujubespan/engine/http_mapping.hpp"
+#include "jujubespan/mesh/attempt_end.hpp"
+#include "jujubespan/mesh/client_response.hpp"
 #include "jujubespan/metrics/log.hpp"
-#include "jujubespan/policy/retry_budget.hpp"
-
-#include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
@@ -26,19 +25,11 @@
 constexpr std::size_t most_attempts = 4;
 // An attempt with less time than this left is not worth its cost.
 constexpr duration shortest_attempt = std::chrono::milliseconds(20);
-// A refused client is asked back after this part of the objective, so that it
-// can still be answered within it.
-constexpr double return_share = 0.25;
-constexpr duration shortest_return = std::chrono::milliseconds(50);
-constexpr duration longest_return = std::chrono::seconds(1);
 // A request with a shorter objective is late when it waits behind calls that
 // keep coming from requests of its class.
 constexpr duration too_short_to_wait = std::chrono::milliseconds(500);
 // Part of a repeat's mean cost that is paid, so that dear ones are covered.
 constexpr double cost_margin = 1.2;
-// Share of the slots in use below which a refusal is not for lack of room.
-constexpr double full_share = 0.8;
-
 constexpr duration pressure_interval = std::chrono::milliseconds(20);
 
 constexpr unsigned first_server_error = 500;
@@ -64,37 +55,6 @@
     return std::chrono::milliseconds(value);
 }
 
-attempt_end end_of(const routed_reply& reply)
-{
-    const auto& value = reply.value;
-    if (value.result == outcome::answered)
-    {
-        return value.response.status < first_server_error ? attempt_end::served
-                                                          : attempt_end::failed;
-    }
-    if (value.result == outcome::unknown)
-    {
-        return value.reason == reason::deadline ? attempt_end::withdrawn
-                                                : attempt_end::failed;
-    }
-    switch (value.reason)
-    {
-    case reason::no_upstream:
-    case reason::backend_unreachable:
-    case reason::wrong_instance: // Until discovery lists the new one.
-    case reason::leaving:
-        return attempt_end::unreachable;
-    case reason::backend_refused:
-    {
-        const auto& load = value.load;
-        return load.in_flight < full_share * load.limit ? attempt_end::rejected
-                                                        : attempt_end::full;
-    }
-    default:
-        return attempt_end::full;
-    }
-}
-
 } // namespace
 
 egress::egress(egress_options options, shared_state& shared,
@@ -533,8 +493,7 @@
         call.instance, version(), to_string(value.result),
         to_string(value.reason), value.response.status, call.tried.size(),
         milliseconds(now - call.arrived));
-    clients_.respond(call.exchange,
-                     to_response(value, call.path, call.message.request_id));
+    respond(call, value);
 }
 
 void egress::refuse(const open_call& call, const answer& value)
@@ -549,36 +508,21 @@
             call.path == nullptr ? std::string("-") : call.path->name,
             version(), to_string(value.result), to_string(value.reason));
     }
-    clients_.respond(call.exchange,
-                     to_response(value, call.path, call.message.request_id));
+    respond(call, value);
 }
 
-http_response egress::to_response(const answer& value, const route* path,
-                                  const std::string& request_id)
+void egress::respond(const open_call& call, const answer& value)
 {
+    const double random = std::uniform_real_distribution<double>(0, 1)(random_);
+    const auto objective =
+        call.path == nullptr ? duration::zero() : call.path->objective;
+    auto response = client_response(value, objective, random);
     if (value.result == outcome::answered)
     {
-        http_response response = value.response;
-        response.headers.push_back({options_.names.request_id, request_id});
-        return response;
-    }
-    http_response response;
-    response.status = engine::status_of(value.result, value.reason);
-    response.headers = {
-        {"Jujubespan-Reason", std::string(to_string(value.reason))}};
-    if (value.result == outcome::not_run)
-    {
-        const double objective =
-            path == nullptr ? 0 : seconds(path->objective) * return_share;
-        const duration base = std::clamp(from_seconds(objective),
-                                         shortest_return, longest_return);
-        const double part =
-            std::uniform_real_distribution<double>(0, 1)(random_);
         response.headers.push_back(
-            {"Retry-After",
-             fmt::format("{:.3f}", seconds(jittered_retry_after(base, part)))});
+            {options_.names.request_id, call.message.request_id});
     }
-    return response;
+    clients_.respond(call.exchange, response);
 }
 
 } // namespace jujubespan::mesh
