Way out: no copy of each answered body; unread members removed

Found when reading the diff: finish() copied the whole answer to cover the rare case of an earlier attempt that may have run; a call kept its parent's id, and two classes a size, that nothing read.

--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -52,8 +52,6 @@
     /// @brief The node of an instance said that it is stopping.
     void on_leaving(std::string_view id, time_point now);
 
-    [[nodiscard]] std::size_t size() const { return members_.size(); }
-
     /// @brief Calls in progress at the reachable instances over their limits,
     /// as they told lately.
     /// @return nothing when too few told; `unavailable_pressure` when no
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -91,7 +91,6 @@
         std::uint64_t exchange{0};
         std::shared_ptr<const configuration> source; // keeps `path` alive
         const route* path{nullptr};
-        std::string parent; ///< Request id of the running parent.
         bool child{false};
         routed_call message;
         time_point arrived{};
--- a/include/jujubespan/mesh/instance_directory.hpp
+++ b/include/jujubespan/mesh/instance_directory.hpp
@@ -62,7 +62,6 @@
     /// @brief The instances that hold their addresses.
     [[nodiscard]] std::vector<instance> all() const;
     [[nodiscard]] std::size_t size() const { return instances_.size(); }
-    [[nodiscard]] std::size_t held() const { return held_.size(); }
 
 private:
     [[nodiscard]] bool holds(time_point now) const;
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -6,7 +6,6 @@
 #include "jujubespan/metrics/log.hpp"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 
 namespace jujubespan::mesh
@@ -155,8 +154,6 @@
     call.child = parent != nullptr;
     if (call.child)
     {
-        call.parent =
-            message.request_id.substr(0, message.request_id.rfind('.'));
         message.key = parent->key;
         message.under_way = true;
         return std::nullopt;
@@ -478,8 +475,8 @@
     // The last attempt was refused, but an earlier one may have run.
     const bool earlier_ran =
         last.result == outcome::not_run && call.may_have_run;
-    const answer value =
-        earlier_ran ? engine::unknown_outcome(last.reason) : last;
+    const answer unknown = engine::unknown_outcome(last.reason);
+    const answer& value = earlier_ran ? unknown : last; // Not a copy.
     ++shared_.metrics.outcomes[static_cast<std::size_t>(value.result)];
     ++shared_.metrics.egress_reasons[static_cast<std::size_t>(value.reason)];
     shared_.metrics.latency[call.path->priority].add(now - call.arrived);
