--- a/include/jujubespan/peer/routed_transport.hpp
+++ b/include/jujubespan/peer/routed_transport.hpp
@@ -24,7 +24,10 @@
 {
 public:
     /// @param self address at which this node listens.
+    /// @param self address by which other nodes know this one.
+    /// @param listen address at which their calls arrive.
     routed_transport(zmq::context_t& context, const config::endpoint& self,
+                     const config::endpoint& listen,
                      std::uint64_t incarnation);
 
     /// @brief Sets the receivers; call before `bind`.
--- a/src/jujubespan/config/mesh_settings_test.cpp
+++ b/src/jujubespan/config/mesh_settings_test.cpp
@@ -37,6 +37,19 @@
     EXPECT_EQ(value->stop_grace, std::chrono::seconds(6));
 }
 
+TEST(mesh_settings, calls_arrive_at_the_call_address_unless_said_otherwise)
+{
+    const auto direct = parse_mesh_settings(settings_with("\"first_start\": true"), "node.json");
+    ASSERT_TRUE(direct.ok()) << direct.status();
+    EXPECT_EQ(direct->call_listen_address, direct->call_address);
+    const auto forwarded = parse_mesh_settings(
+        settings_with("\"call_listen_address\": \"127.0.0.1:7000\""),
+        "node.json");
+    ASSERT_TRUE(forwarded.ok()) << forwarded.status();
+    EXPECT_EQ(forwarded->call_listen_address, (endpoint{"127.0.0.1", 7000}));
+    EXPECT_EQ(forwarded->call_address, (endpoint{"10.0.0.1", 7620}));
+}
+
 TEST(mesh_settings, mistakes_name_file_line_and_field)
 {
     const auto value = parse_mesh_settings(
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -27,8 +27,9 @@
 
 routed_transport::routed_transport(zmq::context_t& context,
                                    const config::endpoint& self,
+                                   const config::endpoint& listen,
                                    std::uint64_t incarnation)
-    : self_(config::to_string(self)), address_(self),
+    : self_(config::to_string(self)), address_(listen),
       messenger_(context, self_, incarnation, {}, *this, options)
 {
 }
