Nodes report pressure of services behind their own backend server only

Every reply carried the pressure of all services that the node knew of, and the receiver passed it on: after an outage, nodes went on telling each other that a service could not be reached, each time as fresh news, and admitted a twentieth of its requests. Now a node reports only services that its own backend server called, from its own view or from replies to those calls.

Test: nodes_do_not_keep_each_other_from_a_service_that_is_back (failed before).

--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -117,6 +117,8 @@
     void learn(const open_call& call, const routed_reply& reply,
                time_point now);
     void observe_pressure(time_point now);
+    void tell_pressure(std::string_view service, double pressure, bool behind,
+                       time_point now);
     [[nodiscard]] bool may_repeat(open_call& call, const engine::answer& last,
                                   time_point now);
     [[nodiscard]] std::vector<service_cost>
@@ -136,7 +138,8 @@
     repeat_allowance allowance_;
     std::optional<route_table> table_;
     string_map<balancer> balancers_;
-    string_map<std::string> peer_of_; // call address of an instance
+    string_map<std::string> peer_of_;  // call address of an instance
+    string_map<time_point> called_at_; // by the own backend server
     route_costs costs_;
     call_map calls_;
     time_point next_pressure_{};
--- a/include/jujubespan/mesh/entry_admission.hpp
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -55,6 +55,11 @@
     /// @brief Learns the pressure of a service.
     void on_pressure(std::string_view service, double pressure, time_point now);
 
+    /// @brief Learns the pressure of a service that the own backend server
+    /// calls, or that is behind one; callers are told of it.
+    void on_pressure_behind(std::string_view service, double pressure,
+                            time_point now);
+
     /// @brief Decides on a request and counts it as offered.
     /// @param route name of the request's route.
     /// @param costs of that route.
@@ -67,6 +72,9 @@
     void on_tick(time_point now);
 
     /// @brief Pressures to report to callers, those worth acting on.
+    ///
+    /// Only of services behind the own backend server: nodes that passed on
+    /// what others told them would keep old news alive among themselves.
     [[nodiscard]] std::vector<service_pressure> report(time_point now) const;
 
     /// @brief Share of the offered load of a service that is admitted.
@@ -82,10 +90,17 @@
     };
     using class_demand = std::vector<route_demand>;
 
-    struct service_state
+    struct news
     {
         double pressure{0};
         time_point heard{};
+
+        void learn(double value, time_point now);
+    };
+
+    struct service_state
+    {
+        news told;
         double admitted{1};
         double admitted_before{1}; ///< Mean of the time that now shows.
         std::array<class_demand, request_class_count> demand;
@@ -98,6 +113,7 @@
     static void adjust(service_state& state, time_point now);
 
     string_map<service_state> services_;
+    string_map<news> behind_; // by service
     time_point next_{};
 };
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,8 +51,8 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
     parser.add_argument("--cases", action="store_true",
                         help="the seeds that once failed")
-    parser.add_argument("--seconds", type=float, default=15,
-                        help="time in which faults begin (default 15)")
+    parser.add_argument("--seconds", type=float, default=20,
+                        help="time in which faults begin (default 20)")
     parser.add_argument("--nodes", type=int, default=3,
                         help="nodes of each of the three services")
     parser.add_argument("--clients", type=int, default=5,
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -29,6 +29,8 @@
 constexpr duration too_short_to_wait = std::chrono::milliseconds(500);
 // Part of a repeat's mean cost that is paid, so that dear ones are covered.
 constexpr double cost_margin = 1.2;
+// The own backend server depends on a service that it called this lately.
+constexpr duration call_memory = std::chrono::seconds(10);
 constexpr duration pressure_interval = std::chrono::milliseconds(20);
 
 constexpr unsigned first_server_error = 500;
@@ -293,7 +295,11 @@
 {
     for (const auto& item : reply.pressures)
     {
-        shared_.admission.on_pressure(item.service, item.pressure, now);
+        tell_pressure(item.service, item.pressure, call.child, now);
+    }
+    if (call.child)
+    {
+        called_at_[call.message.service] = now;
     }
     auto* parent = call.child
                        ? shared_.running.parent_of(call.message.request_id)
@@ -318,11 +324,25 @@
     {
         if (const auto pressure = targets.pressure(now))
         {
-            shared_.admission.on_pressure(service, *pressure, now);
+            const auto called = called_at_.find(service);
+            const bool behind = called != called_at_.end() &&
+                                now - called->second <= call_memory;
+            tell_pressure(service, *pressure, behind, now);
         }
     }
 }
 
+void egress::tell_pressure(std::string_view service, double pressure,
+                           bool behind, time_point now)
+{
+    if (behind)
+    {
+        shared_.admission.on_pressure_behind(service, pressure, now);
+        return;
+    }
+    shared_.admission.on_pressure(service, pressure, now);
+}
+
 std::vector<service_cost> egress::cost_of(const open_call& call) const
 {
     const auto known = costs_.of(call.message.route);
--- a/src/jujubespan/mesh/entry_admission.cpp
+++ b/src/jujubespan/mesh/entry_admission.cpp
@@ -37,15 +37,24 @@
 
 } // namespace
 
+void entry_admission::news::learn(double value, time_point now)
+{
+    const bool stale = now - heard > pressure_lifetime;
+    pressure = stale ? value : pressure + pressure_weight * (value - pressure);
+    heard = now;
+}
+
 void entry_admission::on_pressure(std::string_view service, double pressure,
                                   time_point now)
 {
-    auto& state = services_[std::string(service)];
-    const bool stale = now - state.heard > pressure_lifetime;
-    state.pressure =
-        stale ? pressure
-              : state.pressure + pressure_weight * (pressure - state.pressure);
-    state.heard = now;
+    services_[std::string(service)].told.learn(pressure, now);
+}
+
+void entry_admission::on_pressure_behind(std::string_view service,
+                                         double pressure, time_point now)
+{
+    on_pressure(service, pressure, now);
+    behind_[std::string(service)].learn(pressure, now);
 }
 
 entry_admission::route_demand&
@@ -76,13 +85,14 @@
         auto& state = services_[cost.service];
         auto& demand = demand_of(state.demand[cls], route);
         demand.offered += cost.busy;
-        const double share = state.pressure >= unreachable_pressure
+        const double share = state.told.pressure >= unreachable_pressure
                                  ? least_admitted
                                  : demand.share;
         const bool tighter = !refusal || share < refusal->admitted;
         if (position >= share && tighter)
         {
-            refusal = {cost.service, state.pressure, now - state.heard, share};
+            refusal = {cost.service, state.told.pressure,
+                       now - state.told.heard, share};
         }
     }
     return refusal;
@@ -127,17 +137,17 @@
     measure(state);
     state.admitted_before +=
         (state.admitted - state.admitted_before) / delay_intervals;
-    if (now - state.heard <= pressure_lifetime)
+    if (now - state.told.heard <= pressure_lifetime)
     {
         const double wanted =
             state.admitted_before * target_pressure /
-            std::clamp(state.pressure, lowest_pressure, highest_pressure);
+            std::clamp(state.told.pressure, lowest_pressure, highest_pressure);
         const double next = state.admitted + gain * (wanted - state.admitted);
         state.admitted = std::min(next, state.admitted * most_growth);
     }
     else
     {
-        state.pressure = 0;
+        state.told.pressure = 0;
         state.admitted += recovery;
     }
     state.admitted = std::clamp(state.admitted, least_admitted, 1.0);
@@ -176,12 +186,12 @@
 std::vector<service_pressure> entry_admission::report(time_point now) const
 {
     std::vector<service_pressure> result;
-    for (const auto& [service, state] : services_)
+    for (const auto& [service, item] : behind_)
     {
-        if (state.pressure >= reported_pressure &&
-            now - state.heard <= pressure_lifetime)
+        if (item.pressure >= reported_pressure &&
+            now - item.heard <= pressure_lifetime)
         {
-            result.push_back({service, state.pressure});
+            result.push_back({service, item.pressure});
         }
     }
     return result;
--- a/src/jujubespan/mesh/entry_admission_test.cpp
+++ b/src/jujubespan/mesh/entry_admission_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <random>
 
@@ -241,5 +242,45 @@
     EXPECT_LT(low.share(), 0.6);
 }
 
+// Pattern: after an outage of a service, nodes go on telling each other that it
+// cannot be reached, though all of its instances are back.
+TEST(entry_admission, nodes_do_not_keep_each_other_from_a_service_that_is_back)
+{
+    std::array<entry_admission, 3> nodes;
+    time_point now = start;
+    for (auto& node : nodes)
+    {
+        node.on_pressure("first", unavailable_pressure, now);
+    }
+    for (int step = 0; step < 300; ++step)
+    {
+        now += 10ms;
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+        {
+            // A reply of the next node to a request of a client.
+            for (const auto& item : nodes[(i + 1) % nodes.size()].report(now))
+            {
+                nodes[i].on_pressure(item.service, item.pressure, now);
+            }
+            nodes[i].on_tick(now);
+        }
+    }
+    for (const auto& node : nodes)
+    {
+        EXPECT_DOUBLE_EQ(node.admitted("first"), 1);
+    }
+}
+
+TEST(entry_admission, reports_services_behind_the_own_backend_server)
+{
+    entry_admission target;
+    target.on_pressure("first", 1.5, start);
+    target.on_pressure_behind("second", 1.5, start);
+    const auto reported = target.report(start);
+    ASSERT_EQ(reported.size(), 1U);
+    EXPECT_EQ(reported[0].service, "second");
+    EXPECT_TRUE(target.report(start + 2s).empty());
+}
+
 } // namespace
 } // namespace jujubespan::mesh
