--- a/include/jujubespan/config/field_readers.hpp
+++ b/include/jujubespan/config/field_readers.hpp
@@ -13,10 +13,6 @@
 /// @brief Reads a required endpoint; reports text that is none.
 endpoint read_endpoint(object_reader& reader, std::string_view key);
 
-/// @brief Reads an endpoint; `fallback` when it is missing.
-endpoint read_endpoint_or(object_reader& reader, std::string_view key,
-                          const endpoint& fallback);
-
 /// @brief Reads `log_level`, `info` when it is missing.
 std::string read_log_level(object_reader& reader);
 
--- a/include/jujubespan/config/mesh_settings.hpp
+++ b/include/jujubespan/config/mesh_settings.hpp
@@ -7,6 +7,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,7 +31,7 @@
     endpoint client_address;    ///< Requests of clients and the backend server.
     endpoint readiness_address; ///< Answers whether the node takes requests.
     endpoint call_address;      ///< Calls of other nodes; same port on all.
-    endpoint call_listen_address; ///< Where `call_address` leads to.
+    std::optional<endpoint> call_listen_address; ///< If not `call_address`.
     endpoint metrics_address;
     endpoint backend_address;
     endpoint discovery_address;
--- a/src/jujubespan/config/field_readers.cpp
+++ b/src/jujubespan/config/field_readers.cpp
@@ -29,12 +29,6 @@
     return value.value_or(endpoint{});
 }
 
-endpoint read_endpoint_or(object_reader& reader, std::string_view key,
-                          const endpoint& fallback)
-{
-    return reader.has(key) ? read_endpoint(reader, key) : fallback;
-}
-
 std::string read_log_level(object_reader& reader)
 {
     auto value = reader.string_or("log_level", "info");
--- a/src/jujubespan/config/mesh_settings.cpp
+++ b/src/jujubespan/config/mesh_settings.cpp
@@ -43,8 +43,11 @@
     value.client_address = read_endpoint(reader, "client_address");
     value.readiness_address = read_endpoint(reader, "readiness_address");
     value.call_address = read_endpoint(reader, "call_address");
-    value.call_listen_address =
-        read_endpoint_or(reader, "call_listen_address", value.call_address);
+    if (reader.has("call_listen_address"))
+    {
+        value.call_listen_address =
+            read_endpoint(reader, "call_listen_address");
+    }
     value.metrics_address = read_endpoint(reader, "metrics_address");
     value.backend_address = read_endpoint(reader, "backend_address");
     value.discovery_address = read_endpoint(reader, "discovery_address");
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -69,8 +69,7 @@
 mesh::egress_options egress_options(const config::mesh_settings& options,
                                     const mesh::header_names& names)
 {
-    return {options.service, options.failure_domain, names,
-            terms_of(options.retries), options.first_start};
+    return {options.service, options.failure_domain, names};
 }
 
 mesh::guard_options guard_options(const config::mesh_settings& options,
@@ -82,6 +81,8 @@
     value.names = names;
     value.protection = options.protection;
     value.queue_wait = options.queue_wait;
+    value.repeats = terms_of(options.retries);
+    value.fresh_fleet = options.first_start;
     return value;
 }
 
@@ -92,11 +93,13 @@
                      zmq::context_t& context)
     : options_(options),
       backend_(options.backend_address, backend_options(names)),
-      peers_(context, options.call_address, options.call_listen_address,
+      peers_(context, options.call_address,
+             options.call_listen_address.value_or(options.call_address),
              incarnation),
-      gate_(guard_options(options, names), shared_, backend_, peers_),
+      gate_(guard_options(options, names), shared_, backend_, peers_,
+            boot_clock::now()),
       egress_(egress_options(options, names), shared_, *this, peers_,
-              incarnation, boot_clock::now()),
+              incarnation),
       clients_(client_bounds(options, {}), *this), readiness_(*this),
       checks_(client_bounds(options, {}), readiness_)
 {
