Calls stay in the own failure domain while there is room

Now two candidates are near ones where there are, and an instance elsewhere costs more while it is idle and nothing more once it is nearly full.

--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -22,9 +22,10 @@
 /// @brief Chooses among the instances of one service.
 ///
 /// The cost of an instance grows with its measured latency, its load and the
-/// share of attempts that fail there. One of a few random candidates with the
-/// least cost is chosen, so that nodes that see the same loads do not all
-/// choose the same instance.
+/// share of attempts that fail there, and is lower in the own failure domain
+/// while there is room. One of a few random candidates with the least cost is
+/// chosen, so that nodes that see the same loads do not all choose the same
+/// instance.
 class balancer
 {
 public:
@@ -79,6 +80,9 @@
     member* find(std::string_view id);
     [[nodiscard]] static double failures_of(const member& m, time_point now);
     [[nodiscard]] static double load_of(const member& m, time_point now);
+    [[nodiscard]] bool near(const member& m) const;
+    void keep_candidates(std::vector<member*>& pool,
+                         std::mt19937_64& random) const;
     [[nodiscard]] double cost(const member& m, double reference,
                               time_point now) const;
     [[nodiscard]] std::vector<member*>
--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -10,7 +10,9 @@
 namespace
 {
 
-constexpr std::size_t candidates = 3;
+// Candidates that are compared, and how many of them may be near.
+constexpr std::size_t candidates = 4;
+constexpr std::size_t near_candidates = 2;
 constexpr duration load_lifetime = std::chrono::seconds(1);
 constexpr double latency_weight = 0.1; // of one attempt in the smoothed value
 constexpr double failure_weight = 0.08;
@@ -35,7 +37,10 @@
 constexpr double nearly_full = 0.8; // load above which room counts most
 constexpr double full_cost = 3;
 constexpr double failure_cost = 4;
-constexpr double other_domain_cost = 0.12;
+// Links between failure domains are paid for and are the first to narrow. An
+// instance elsewhere costs this much more while it is idle and nothing more
+// once it is nearly full: then all slots count alike.
+constexpr double other_domain_cost = 0.6;
 constexpr double cold_factor = 2;
 constexpr double unknown_latency = 0.5; // part of the best known one
 // Longer queues tell nothing more.
@@ -151,13 +156,19 @@
     return used / slots;
 }
 
+// An instance that was not used yet counts as near, so that it is tried.
+bool balancer::near(const member& m) const
+{
+    return m.info.failure_domain == domain_ || m.latency == 0;
+}
+
 double balancer::cost(const member& m, double reference, time_point now) const
 {
     const double load = load_of(m, now) + 1.0 / std::max(1U, m.info.slots);
     double latency = m.latency > 0 && reference > 0 ? m.latency / reference : 1;
     latency *= now < m.info.warm_at ? cold_factor : 1;
-    const bool near = m.info.failure_domain == domain_ || m.latency == 0;
-    const double domain = near ? 0 : other_domain_cost;
+    const double domain =
+        near(m) ? 0 : other_domain_cost * std::max(0.0, 1 - load / nearly_full);
     const double full = full_cost * std::max(0.0, load - nearly_full);
     return (latency + failure_cost * failures_of(m, now)) * (idle_cost + load) +
            full + domain;
@@ -198,6 +209,25 @@
     return std::min(used / limit, highest_pressure);
 }
 
+void balancer::keep_candidates(std::vector<member*>& pool,
+                               std::mt19937_64& random) const
+{
+    std::shuffle(pool.begin(), pool.end(), random);
+    const auto others = std::partition(
+        pool.begin(), pool.end(), [this](const member* m) { return near(*m); });
+    const auto near_count =
+        static_cast<std::size_t>(std::distance(pool.begin(), others));
+    const std::size_t other_count = pool.size() - near_count;
+    const std::size_t kept_near = std::max(
+        near_candidates, candidates - std::min(candidates, other_count));
+    if (near_count > kept_near)
+    {
+        pool.erase(pool.begin() + static_cast<std::ptrdiff_t>(kept_near),
+                   others);
+    }
+    pool.resize(std::min(pool.size(), candidates));
+}
+
 std::optional<std::string> balancer::pick(std::span<const std::string> exclude,
                                           std::mt19937_64& random,
                                           time_point now)
@@ -219,8 +249,7 @@
         return std::nullopt;
     }
     const double reference = best_latency(pool);
-    std::shuffle(pool.begin(), pool.end(), random);
-    pool.resize(std::min(pool.size(), candidates));
+    keep_candidates(pool, random);
     std::uniform_real_distribution<double> noise(1 - spread, 1 + spread);
     member* chosen = nullptr;
     double least = std::numeric_limits<double>::max();
--- a/src/jujubespan/mesh/balancer_test.cpp
+++ b/src/jujubespan/mesh/balancer_test.cpp
@@ -82,6 +82,46 @@
     EXPECT_GT(counts.at("a"), 200);
 }
 
+// Pattern: a calm day of a fleet with many instances of a service, of which
+// the nearest are not the fastest.
+TEST_F(balancing, calm_service_is_used_in_the_own_failure_domain)
+{
+    list.clear();
+    std::map<std::string, duration> latencies;
+    for (int i = 0; i < 30; ++i)
+    {
+        const auto id = std::to_string(i);
+        const bool own = i % 3 == 0;
+        list.push_back(make_instance(id, own ? "zone-a" : "zone-b"));
+        latencies[id] = own ? 30ms : 20ms;
+    }
+    target.apply(list, now);
+    send(300, {}, latencies);
+    for (const auto& item : list)
+    {
+        tell(item.id, 10);
+    }
+    const auto counts = send(150, {}, latencies);
+    int own = 0;
+    for (const auto& [id, count] : counts)
+    {
+        own += latencies[id] == duration(30ms) ? count : 0;
+    }
+    EXPECT_GE(own, 140);
+}
+
+// Pattern: one failure domain has more callers than room.
+TEST_F(balancing, full_failure_domain_spills_over)
+{
+    send(100);
+    tell("a", 47);
+    tell("b", 42);
+    tell("c", 42);
+    const auto counts = send(60);
+    const int own = counts.contains("a") ? counts.at("a") : 0;
+    EXPECT_LE(own, 10);
+}
+
 TEST_F(balancing, load_goes_before_failure_domain)
 {
     tell("a", 45);
