Guards spend the retry budget of their service

Cause: each node had a fixed part of every service's budget. Repeats of calls deep in the graph are needed at the few nodes whose backend servers call that service, which have hardly any clients of it: 4 guards of a service of 75 nodes could share what 75 nodes held. Calls now say whether they are repeats (an earlier attempt arrived, or a repeated run calls), and the guard of the called service pays for them out of the ratio of the client requests that arrived at it and its part of the slack, or refuses them as not run. Calls of repeated runs leave half of the budget to single calls.

Tests: callers_without_own_clients_can_use_most_of_the_budget, repeats_beyond_the_budget_are_refused_as_not_run, service_without_budget_is_asked_for_no_repeats and others.

--- a/include/jujubespan/engine/answer.hpp
+++ b/include/jujubespan/engine/answer.hpp
@@ -62,7 +62,8 @@
     backend_refused, ///< The backend server itself had no room.
     invalid_answer,  ///< Not the whole answer of the backend server.
     timeout,         ///< The route's own timeout passed.
-    last = timeout
+    retry_budget,    ///< A repeat for which the service has no budget left.
+    last = retry_budget
 };
 
 std::string_view to_string(outcome value);
--- a/include/jujubespan/mesh/call.hpp
+++ b/include/jujubespan/mesh/call.hpp
@@ -4,6 +4,7 @@
 #include "jujubespan/engine/answer.hpp"
 #include "jujubespan/engine/call.hpp"
 #include "jujubespan/mesh/entry_admission.hpp"
+#include "jujubespan/mesh/repeat_allowance.hpp"
 #include "jujubespan/mesh/route_costs.hpp"
 #include "jujubespan/policy/http_message.hpp"
 #include "jujubespan/policy/shed_level.hpp"
@@ -32,6 +33,8 @@
     /// Goes before others of its class: called by a request that already runs,
     /// or with too little time to wait.
     bool under_way{false};
+    bool client_request{false}; ///< Not called by a running request.
+    repeat_cause repeat{repeat_cause::none};
     http_request request;
 };
 
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -8,7 +8,6 @@
 #include "jujubespan/mesh/header_names.hpp"
 #include "jujubespan/mesh/instance_directory.hpp"
 #include "jujubespan/mesh/mesh_metrics.hpp"
-#include "jujubespan/mesh/repeat_allowance.hpp"
 #include "jujubespan/mesh/running_calls.hpp"
 
 #include <absl/container/btree_set.h>
@@ -40,8 +39,6 @@
     std::string service; ///< Of the own backend server.
     std::string failure_domain;
     header_names names;
-    repeat_terms repeats;
-    bool fresh_fleet{false};
 };
 
 /// @brief The way out of a node: takes requests of clients and of the own
@@ -52,7 +49,7 @@
 {
 public:
     egress(egress_options options, shared_state& shared, client_port& clients,
-           routed_call_port& peers, std::uint64_t seed, time_point now);
+           routed_call_port& peers, std::uint64_t seed);
 
     void on_request(std::uint64_t exchange, http_request request,
                     time_point now);
@@ -74,7 +71,6 @@
 
     void apply(std::shared_ptr<const configuration> next);
     void apply(const instance_directory& list, time_point now);
-    void apply(const repeat_terms& terms) { allowance_.apply(terms); }
 
     /// @brief Refuses new requests as not run; those in flight go on.
     void stop_taking() { closed_ = true; }
@@ -99,7 +95,8 @@
         std::vector<std::string> tried;
         unsigned arrivals{0}; // attempts that may have reached a server
         bool may_have_run{false};
-        std::string peer; ///< Of the attempt in flight.
+        std::optional<engine::answer> error; // of a server, to an attempt
+        std::string peer;                    ///< Of the attempt in flight.
         std::string instance;
     };
 
@@ -121,8 +118,6 @@
                        time_point now);
     [[nodiscard]] bool may_repeat(open_call& call, const engine::answer& last,
                                   time_point now);
-    [[nodiscard]] std::vector<service_cost>
-    cost_of(const open_call& call) const;
     void finish(open_call& call, const engine::answer& last, time_point now);
     void refuse(const open_call& call, const engine::answer& value);
     void withdraw(std::uint64_t id, open_call& call, time_point now);
@@ -135,11 +130,11 @@
     client_port& clients_;
     routed_call_port& peers_;
     std::mt19937_64 random_;
-    repeat_allowance allowance_;
     std::optional<route_table> table_;
     string_map<balancer> balancers_;
-    string_map<std::string> peer_of_;  // call address of an instance
-    string_map<time_point> called_at_; // by the own backend server
+    string_map<std::string> peer_of_;         // call address of an instance
+    string_map<time_point> called_at_;        // by the own backend server
+    string_map<time_point> no_repeats_until_; // by service
     route_costs costs_;
     call_map calls_;
     time_point next_pressure_{};
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -26,6 +26,8 @@
     bool protection{true}; ///< False: everything runs at once.
     duration queue_wait{std::chrono::milliseconds(100)};
     std::size_t max_queue{512};
+    repeat_terms repeats;
+    bool fresh_fleet{false}; ///< The whole fleet starts now.
 };
 
 /// @brief The last gate before the own backend server: refuses what must not
@@ -36,7 +38,8 @@
 {
 public:
     guard(guard_options options, shared_state& shared,
-          engine::backend_port& backend, routed_reply_port& replies);
+          engine::backend_port& backend, routed_reply_port& replies,
+          time_point now);
 
     void on_call(std::uint64_t exchange, routed_call call, time_point now);
 
@@ -52,6 +55,8 @@
     /// @brief Applies the instance list; the guard keeps a reference to it.
     void apply(const instance_directory& list, time_point now);
 
+    void apply(const repeat_terms& terms) { repeats_.apply(terms); }
+
     /// @brief The node is stopping; replies say so from now on.
     void begin_drain() { leaving_ = true; }
 
@@ -74,6 +79,7 @@
 
     [[nodiscard]] std::optional<engine::reason>
     reason_to_refuse(const routed_call& call, time_point now) const;
+    [[nodiscard]] bool pay_for_repeat(const routed_call& call, time_point now);
     void run(std::uint64_t id, time_point now);
     void pump(time_point now);
     void refuse(std::uint64_t id, engine::reason why, time_point now);
@@ -87,6 +93,7 @@
     engine::backend_port& backend_;
     routed_reply_port& replies_;
     engine::admission_gate gate_;
+    repeat_allowance repeats_;
     const instance_directory* instances_{nullptr};
     std::uint32_t slots_{0}; ///< Published; zero: not known.
     bool leaving_{false};
--- a/include/jujubespan/mesh/repeat_allowance.hpp
+++ b/include/jujubespan/mesh/repeat_allowance.hpp
@@ -1,58 +1,59 @@
 #ifndef JUJUBESPAN_MESH_REPEAT_ALLOWANCE_HPP
 #define JUJUBESPAN_MESH_REPEAT_ALLOWANCE_HPP
 
-#include "jujubespan/mesh/route_costs.hpp"
-#include "jujubespan/policy/string_map.hpp"
 #include "jujubespan/policy/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
-#include <span>
-#include <string>
-#include <string_view>
 
 namespace jujubespan::mesh
 {
 
-/// @brief Terms of the retry budget that the whole fleet shares.
+/// @brief Terms of the retry budget of a service.
 struct repeat_terms
 {
     double ratio{0.2}; ///< Repeats allowed for each client request.
-    double slack{10};  ///< Repeats of the whole fleet in a window beside.
+    double slack{10};  ///< Repeats of the whole service in a window beside.
     duration window{std::chrono::seconds(10)};
 };
 
-/// @brief This node's part of the fleet's retry budget.
+/// @brief Why a request arrives once more.
+enum class repeat_cause : std::uint8_t
+{
+    none,
+    attempt, ///< An earlier attempt arrived at a backend server.
+    caller   ///< It is called by a run that is itself a repeat.
+};
+
+/// @brief The part of its service's retry budget that one guard spends.
 ///
-/// A node spends the ratio of the client requests that it took itself and an
-/// equal part of the slack. The parts of all nodes add up to less than the
-/// budget while no node counts fewer nodes than there are.
+/// A guard allows the ratio of the client requests that arrived at it and an
+/// equal part of the slack. The parts of all guards of a service add up to
+/// less than the budget while no guard counts fewer guards than there are.
 class repeat_allowance
 {
 public:
     /// @param fresh_fleet the whole fleet starts now. Otherwise an earlier
-    /// process may have spent this node's part, and its slack is withheld for
+    /// process may have spent this guard's part, and its slack is withheld for
     /// one window.
     repeat_allowance(repeat_terms terms, bool fresh_fleet, time_point now);
 
     void apply(const repeat_terms& terms) { terms_ = terms; }
 
-    /// @brief Sets the number of nodes that share the slack.
-    void on_fleet_size(std::size_t nodes, time_point now);
+    /// @brief Sets the number of guards that share the slack.
+    void on_guards(std::size_t guards, time_point now);
 
-    /// @brief Counts a request that a client sent for a service.
-    void on_client_request(std::string_view service, time_point now);
+    /// @brief Counts the first arrival of a request that a client sent.
+    void on_client_request(time_point now);
 
-    /// @brief Pays for one repeat at every service that it reaches, or for
-    /// none of them.
-    /// @return false when one of the services has no room.
-    bool spend(std::span<const service_cost> costs, time_point now);
+    /// @brief Pays for one arrival. Calls of repeated runs leave a part to
+    /// repeats of single calls, which achieve more for the same price.
+    /// @return false when there is no room.
+    bool spend(repeat_cause cause, time_point now);
 
-    /// @brief Counts arrivals caused by a repeat beyond what was paid.
-    void charge(std::string_view service, double arrivals, time_point now);
-
-    /// @brief What may still be spent at a service.
-    [[nodiscard]] double left(std::string_view service, time_point now);
+    /// @brief What may still be spent.
+    [[nodiscard]] double left(time_point now);
 
 private:
     struct event
@@ -61,25 +62,24 @@
         double amount{0};
     };
 
-    struct account
+    struct sliding_sum
     {
-        std::deque<event> requests; // one for each short interval
-        std::deque<event> spent;
-        double requests_sum{0};
-        double spent_sum{0};
+        std::deque<event> events; // one for each short interval
+        double sum{0};
+
+        void add(time_point now);
+        void expire(time_point before);
     };
 
-    static void add(std::deque<event>& events, double& sum, double amount,
-                    time_point now);
-    static void expire(std::deque<event>& events, double& sum,
-                       time_point before);
+    [[nodiscard]] double budget(time_point now);
 
     repeat_terms terms_;
     bool fresh_fleet_;
     time_point started_;
-    std::size_t nodes_{0};
-    time_point nodes_at_{};
-    string_map<account> accounts_;
+    std::size_t guards_{0};
+    time_point guards_at_{};
+    sliding_sum requests_;
+    sliding_sum spent_;
 };
 
 } // namespace jujubespan::mesh
--- a/include/jujubespan/mesh/running_calls.hpp
+++ b/include/jujubespan/mesh/running_calls.hpp
@@ -19,6 +19,7 @@
     shed_key key{0};
     time_point deadline{};
     std::vector<service_cost> costs; ///< Of its calls so far.
+    bool repeat{false};              ///< An earlier attempt may have run, too.
 };
 
 /// @brief The requests that the own backend server runs, by request id.
--- a/src/jujubespan/engine/answer.cpp
+++ b/src/jujubespan/engine/answer.cpp
@@ -48,6 +48,7 @@
     "backend-refused",
     "invalid-answer",
     "timeout",
+    "retry-budget",
 });
 static_assert(reason_names.size() ==
               static_cast<std::size_t>(reason::last) + 1);
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -27,8 +27,9 @@
 // A request with a shorter objective is late when it waits behind calls that
 // keep coming from requests of its class.
 constexpr duration too_short_to_wait = std::chrono::milliseconds(500);
-// Part of a repeat's mean cost that is paid, so that dear ones are covered.
-constexpr double cost_margin = 1.2;
+// After a guard had no budget for a repeat, its service gets none for this
+// long.
+constexpr duration no_repeats_time = std::chrono::milliseconds(100);
 // The own backend server depends on a service that it called this lately.
 constexpr duration call_memory = std::chrono::seconds(10);
 constexpr duration pressure_interval = std::chrono::milliseconds(20);
@@ -60,10 +61,9 @@
 
 egress::egress(egress_options options, shared_state& shared,
                client_port& clients, routed_call_port& peers,
-               std::uint64_t seed, time_point now)
+               std::uint64_t seed)
     : options_(std::move(options)), shared_(shared), clients_(clients),
-      peers_(peers), random_(seed),
-      allowance_(options_.repeats, options_.fresh_fleet, now)
+      peers_(peers), random_(seed)
 {
 }
 
@@ -90,7 +90,6 @@
     {
         balancer_of(service).apply(items, now);
     }
-    allowance_.on_fleet_size(all.size(), now);
 }
 
 balancer& egress::balancer_of(std::string_view service)
@@ -158,9 +157,11 @@
     {
         message.key = parent->key;
         message.under_way = true;
+        message.repeat =
+            parent->repeat ? repeat_cause::caller : repeat_cause::none;
         return std::nullopt;
     }
-    allowance_.on_client_request(message.service, now);
+    message.client_request = true;
     message.key = make_shed_key(class_of_priority(call.path->priority),
                                 message.request_id, 1);
     const auto objective = call.path->objective;
@@ -280,6 +281,10 @@
     {
         targets.on_leaving(call.instance, now);
     }
+    if (reply.value.reason == reason::retry_budget)
+    {
+        no_repeats_until_[call.message.service] = now + no_repeats_time;
+    }
     if (reply.arrived || reply.value.result == outcome::unknown)
     {
         ++call.arrivals;
@@ -343,23 +348,6 @@
     shared_.admission.on_pressure(service, pressure, now);
 }
 
-std::vector<service_cost> egress::cost_of(const open_call& call) const
-{
-    const auto known = costs_.of(call.message.route);
-    if (known.empty())
-    {
-        return {{call.message.service, 1, 0}};
-    }
-    std::vector<service_cost> costs(known.begin(), known.end());
-    for (auto& item : costs)
-    {
-        item.arrivals = item.service == call.message.service
-                            ? std::max(1.0, item.arrivals)
-                            : item.arrivals * cost_margin;
-    }
-    return costs;
-}
-
 bool egress::may_repeat(open_call& call, const answer& last, time_point now)
 {
     const bool not_run = last.result == outcome::not_run;
@@ -385,12 +373,13 @@
     {
         return false;
     }
-    if (!allowance_.spend(cost_of(call), now))
+    const auto until = no_repeats_until_.find(call.message.service);
+    if (until != no_repeats_until_.end() && now < until->second)
     {
-        ++shared_.metrics.repeats_denied;
         return false;
     }
     ++shared_.metrics.repeats;
+    call.message.repeat = repeat_cause::attempt;
     return true;
 }
 
@@ -401,6 +390,10 @@
         finish(call, last, now);
         return;
     }
+    if (last.result == outcome::answered)
+    {
+        call.error = last;
+    }
     log(log_level::info, "request_sent_again",
         "request={} route={} instance={} outcome={} reason={} tried={}",
         call.message.request_id, call.message.route, call.instance,
@@ -496,7 +489,8 @@
     const bool earlier_ran =
         last.result == outcome::not_run && call.may_have_run;
     const answer unknown = engine::unknown_outcome(last.reason);
-    const answer& value = earlier_ran ? unknown : last; // Not a copy.
+    const answer& earlier = call.error ? *call.error : unknown;
+    const answer& value = earlier_ran ? earlier : last; // Not a copy.
     ++shared_.metrics.outcomes[static_cast<std::size_t>(value.result)];
     ++shared_.metrics.egress_reasons[static_cast<std::size_t>(value.reason)];
     shared_.metrics.latency[call.path->priority].add(now - call.arrived);
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -135,8 +135,8 @@
     recording_clients clients;
     recording_peers peers;
     instance_directory directory;
-    egress_options options{"own", "zone-a", {}, {0.2, 49, 10s}, true};
-    egress target{options, shared, clients, peers, 1, start};
+    egress_options options{"own", "zone-a", {}};
+    egress target{options, shared, clients, peers, 1};
 };
 
 TEST_F(way_out, without_configuration_requests_are_refused_as_not_run)
@@ -270,20 +270,54 @@
     EXPECT_EQ(status(), 503U);
 }
 
-TEST_F(way_out, repeats_stop_when_the_budget_is_spent)
+TEST_F(way_out, repeats_say_so_to_the_guard)
 {
     configure();
-    for (std::uint64_t i = 1; i <= 200; ++i)
+    request(1, "/read/1");
+    EXPECT_EQ(peers.calls[0].repeat, repeat_cause::none);
+    EXPECT_TRUE(peers.calls[0].client_request);
+    reply(engine::unknown_outcome(reason::backend_failed));
+    ASSERT_EQ(peers.calls.size(), 2U);
+    EXPECT_EQ(peers.calls[1].repeat, repeat_cause::attempt);
+}
+
+TEST_F(way_out, call_of_a_repeated_run_is_a_repeat)
+{
+    configure();
+    shared.running.begin("id-9", {0, now + 1s, {}, true});
+    request(1, "/read/1", "id-9.1");
+    EXPECT_EQ(peers.calls[0].repeat, repeat_cause::caller);
+    EXPECT_FALSE(peers.calls[0].client_request);
+}
+
+// Pattern: most answers of a service are lost and its guards have no budget.
+TEST_F(way_out, service_without_budget_is_asked_for_no_repeats)
+{
+    configure();
+    for (std::uint64_t i = 1; i <= 50; ++i)
     {
         request(i, "/read/1", "id-" + std::to_string(i));
         reply(engine::unknown_outcome(reason::backend_failed));
-        if (status(i) == 0)
+        while (status(i) == 0)
         {
-            reply(answered(200));
+            reply(engine::refuse(reason::retry_budget, true), false);
         }
+        EXPECT_EQ(status(i), 502U) << "the first attempt may have run";
     }
-    EXPECT_LE(shared.metrics.repeats, 200 * 0.2 + 49);
-    EXPECT_GT(shared.metrics.repeats_denied, 100U);
+    EXPECT_LE(shared.metrics.repeats, 2U);
+}
+
+TEST_F(way_out, error_of_the_server_is_delivered_when_its_repeat_is_refused)
+{
+    configure();
+    request(1, "/read/1");
+    reply(answered(500));
+    while (status() == 0)
+    {
+        reply(engine::refuse(reason::retry_budget, true), false);
+    }
+    EXPECT_EQ(status(), 500U);
+    EXPECT_EQ(clients.responses[1].body, "body");
 }
 
 TEST_F(way_out, server_error_is_delivered_when_it_cannot_be_repeated)
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -65,16 +65,24 @@
 } // namespace
 
 guard::guard(guard_options options, shared_state& shared,
-             engine::backend_port& backend, routed_reply_port& replies)
+             engine::backend_port& backend, routed_reply_port& replies,
+             time_point now)
     : options_(std::move(options)), shared_(shared), backend_(backend),
       replies_(replies), gate_(limit_for(unknown_slots, options_.protection),
-                               options_.queue_wait, options_.max_queue)
+                               options_.queue_wait, options_.max_queue),
+      repeats_(options_.repeats, options_.fresh_fleet, now)
 {
 }
 
 void guard::apply(const instance_directory& list, time_point now)
 {
     instances_ = &list;
+    const auto all = list.all();
+    repeats_.on_guards(static_cast<std::size_t>(std::count_if(
+                           all.begin(), all.end(),
+                           [this](const instance& item)
+                           { return item.service == options_.service; })),
+                       now);
     const auto* own = list.at_address(options_.backend_address);
     if (own == nullptr || own->slots == slots_)
     {
@@ -117,9 +125,27 @@
     return std::nullopt;
 }
 
+bool guard::pay_for_repeat(const routed_call& call, time_point now)
+{
+    if (call.repeat != repeat_cause::none)
+    {
+        return repeats_.spend(call.repeat, now);
+    }
+    if (call.client_request)
+    {
+        repeats_.on_client_request(now);
+    }
+    return true;
+}
+
 void guard::on_call(std::uint64_t exchange, routed_call call, time_point now)
 {
-    const auto why = reason_to_refuse(call, now);
+    auto why = reason_to_refuse(call, now);
+    if (!why && !pay_for_repeat(call, now))
+    {
+        why = reason::retry_budget;
+        ++shared_.metrics.repeats_denied;
+    }
     const auto added =
         calls_.emplace(exchange, open_call{std::move(call), now, {}, false});
     auto& entry = added.first->second;
@@ -157,7 +183,10 @@
     call.started = now;
     const auto& message = call.message;
     shared_.running.begin(message.request_id,
-                          {message.key, message.deadline, {}});
+                          {message.key,
+                           message.deadline,
+                           {},
+                           message.repeat != repeat_cause::none});
     auto request = message.request;
     const auto& names = options_.names;
     std::erase_if(
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -57,6 +57,8 @@
         guard_options value;
         value.service = "s";
         value.backend_address = "10.0.0.1:8080";
+        value.repeats = {0.2, 10, 10s};
+        value.fresh_fleet = true;
         return value;
     }
 
@@ -72,7 +74,7 @@
     }
 
     void call(std::uint64_t exchange, shed_key key = 0, bool under_way = false,
-              duration left = 1s)
+              duration left = 1s, repeat_cause repeat = repeat_cause::none)
     {
         routed_call message;
         message.id = exchange;
@@ -84,6 +86,7 @@
         message.deadline = now + left;
         message.key = key;
         message.under_way = under_way;
+        message.repeat = repeat;
         message.request.verb = "GET";
         message.request.target = "/r/1";
         message.request.headers = {{names.caller_service, "forged"}};
@@ -108,7 +111,7 @@
     recording_backend backend;
     recording_replies replies;
     instance_directory directory;
-    guard target{options(), shared, backend, replies};
+    guard target{options(), shared, backend, replies, start};
 };
 
 TEST_F(guarding, request_names_instance_caller_and_remaining_time)
@@ -255,5 +258,25 @@
     EXPECT_EQ(reply(1).result, outcome::answered);
 }
 
+// Pattern: callers repeat everything while answers are lost.
+TEST_F(guarding, repeats_beyond_the_budget_are_refused_as_not_run)
+{
+    constexpr std::uint64_t calls = 40;
+    for (std::uint64_t i = 1; i <= calls; ++i)
+    {
+        call(i, 0, false, 1s, repeat_cause::attempt);
+        if (backend.requests.contains(i))
+        {
+            answer(i, 200, {{names.signature, "x"}});
+        }
+    }
+    EXPECT_LE(backend.requests.size(), 10U);
+    EXPECT_GE(backend.requests.size(), 5U);
+    EXPECT_EQ(reply(calls).result, outcome::not_run);
+    EXPECT_EQ(reply(calls).reason, reason::retry_budget);
+    call(calls + 1);
+    EXPECT_TRUE(backend.requests.contains(calls + 1)) << "not a repeat";
+}
+
 } // namespace
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/repeat_allowance.cpp
+++ b/src/jujubespan/mesh/repeat_allowance.cpp
@@ -1,7 +1,5 @@
 #include "jujubespan/mesh/repeat_allowance.hpp"
 
-#include <algorithm>
-
 namespace jujubespan::mesh
 {
 
@@ -10,15 +8,17 @@
 
 // Part of the budget that is used; the rest covers arrivals that are counted
 // at the backend server in another window than here.
-constexpr double used_share = 0.7;
-// Nodes that may exist beside those that are listed, as a factor.
-constexpr double unlisted_nodes = 1.25;
-// Time for which the largest number of nodes seen is kept.
-constexpr duration remember_size = std::chrono::seconds(60);
+constexpr double used_share = 0.8;
+// Guards that may exist beside those that are listed, as a factor.
+constexpr double unlisted_guards = 1.25;
+// Time for which the largest number of guards seen is kept.
+constexpr duration remember_guards = std::chrono::seconds(60);
 // Events closer together than this are counted as one.
 constexpr duration event_interval = std::chrono::milliseconds(100);
-// Repeats arrive a little after they are paid for.
+// Repeats may wait for a slot after they are paid for.
 constexpr duration window_margin = std::chrono::milliseconds(1500);
+// Part of the budget that calls of repeated runs leave untouched.
+constexpr double kept_for_attempts = 0.5;
 
 } // namespace
 
@@ -28,86 +28,68 @@
 {
 }
 
-void repeat_allowance::on_fleet_size(std::size_t nodes, time_point now)
+void repeat_allowance::on_guards(std::size_t guards, time_point now)
 {
-    if (nodes >= nodes_ || now - nodes_at_ > remember_size)
+    if (guards >= guards_ || now - guards_at_ > remember_guards)
     {
-        nodes_ = nodes;
-        nodes_at_ = now;
+        guards_ = guards;
+        guards_at_ = now;
     }
 }
 
-void repeat_allowance::add(std::deque<event>& events, double& sum,
-                           double amount, time_point now)
+void repeat_allowance::sliding_sum::add(time_point now)
 {
     if (events.empty() || now - events.back().at > event_interval)
     {
         events.push_back({now, 0});
     }
-    events.back().amount += amount;
-    sum += amount;
+    events.back().amount += 1;
+    sum += 1;
 }
 
-void repeat_allowance::expire(std::deque<event>& events, double& sum,
-                              time_point before)
+void repeat_allowance::sliding_sum::expire(time_point before)
 {
     while (!events.empty() && events.front().at < before)
     {
         sum -= events.front().amount;
         events.pop_front();
     }
-    if (events.empty())
-    {
-        sum = 0;
-    }
 }
 
-void repeat_allowance::on_client_request(std::string_view service,
-                                         time_point now)
+void repeat_allowance::on_client_request(time_point now)
 {
-    auto& entry = accounts_[std::string(service)];
-    add(entry.requests, entry.requests_sum, 1, now);
-    expire(entry.requests, entry.requests_sum, now - terms_.window);
+    requests_.add(now);
+    requests_.expire(now - terms_.window);
 }
 
-double repeat_allowance::left(std::string_view service, time_point now)
+double repeat_allowance::budget(time_point now)
 {
-    auto& entry = accounts_[std::string(service)];
-    expire(entry.requests, entry.requests_sum, now - terms_.window);
-    expire(entry.spent, entry.spent_sum, now - terms_.window - window_margin);
+    requests_.expire(now - terms_.window);
     const bool slack_known =
-        nodes_ > 0 && (fresh_fleet_ || now - started_ >= terms_.window);
+        guards_ > 0 && (fresh_fleet_ || now - started_ >= terms_.window);
     const double slack =
         slack_known
-            ? terms_.slack / (static_cast<double>(nodes_) * unlisted_nodes)
+            ? terms_.slack / (static_cast<double>(guards_) * unlisted_guards)
             : 0;
-    return used_share * (terms_.ratio * entry.requests_sum + slack) -
-           entry.spent_sum;
+    return used_share * (terms_.ratio * requests_.sum + slack);
+}
+
+double repeat_allowance::left(time_point now)
+{
+    spent_.expire(now - terms_.window - window_margin);
+    return budget(now) - spent_.sum;
 }
 
-bool repeat_allowance::spend(std::span<const service_cost> costs,
-                             time_point now)
+bool repeat_allowance::spend(repeat_cause cause, time_point now)
 {
-    const bool room =
-        std::all_of(costs.begin(), costs.end(),
-                    [&](const service_cost& cost)
-                    { return left(cost.service, now) >= cost.arrivals; });
-    if (!room)
+    const double kept =
+        cause == repeat_cause::caller ? kept_for_attempts * budget(now) : 0;
+    if (left(now) < 1 + kept)
     {
         return false;
     }
-    for (const auto& cost : costs)
-    {
-        charge(cost.service, cost.arrivals, now);
-    }
+    spent_.add(now);
     return true;
 }
 
-void repeat_allowance::charge(std::string_view service, double arrivals,
-                              time_point now)
-{
-    auto& entry = accounts_[std::string(service)];
-    add(entry.spent, entry.spent_sum, arrivals, now);
-}
-
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/repeat_allowance_test.cpp
+++ b/src/jujubespan/mesh/repeat_allowance_test.cpp
@@ -1,11 +1,11 @@
-// The fleet's retry budget: the parts of all nodes never exceed it.
+// The retry budget of a service: the parts of all guards never exceed it.
 
 #include "jujubespan/mesh/repeat_allowance.hpp"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
-#include <memory>
 #include <random>
 
 namespace jujubespan::mesh
@@ -16,58 +16,57 @@
 using namespace std::chrono_literals;
 
 constexpr repeat_terms terms{0.2, 49, 10s};
+constexpr auto attempt = repeat_cause::attempt;
 const time_point start{1000s};
 
-std::vector<service_cost> one(std::string service)
-{
-    return {{std::move(service), 1, 0}};
-}
-
 TEST(repeat_allowance, newcomer_has_no_slack_for_one_window)
 {
-    repeat_allowance node(terms, false, start);
-    node.on_fleet_size(2, start);
-    EXPECT_FALSE(node.spend(one("a"), start + 1s));
-    EXPECT_TRUE(node.spend(one("a"), start + 11s));
+    repeat_allowance guard(terms, false, start);
+    guard.on_guards(2, start);
+    EXPECT_FALSE(guard.spend(attempt, start + 1s));
+    EXPECT_TRUE(guard.spend(attempt, start + 11s));
 }
 
 TEST(repeat_allowance, fresh_fleet_has_its_slack_at_once)
 {
-    repeat_allowance node(terms, true, start);
-    EXPECT_FALSE(node.spend(one("a"), start)); // Size of the fleet unknown.
-    node.on_fleet_size(2, start);
-    EXPECT_TRUE(node.spend(one("a"), start));
+    repeat_allowance guard(terms, true, start);
+    EXPECT_FALSE(guard.spend(attempt, start)) << "number of guards unknown";
+    guard.on_guards(2, start);
+    EXPECT_TRUE(guard.spend(attempt, start));
 }
 
-TEST(repeat_allowance, repeat_needs_room_at_every_service_behind_it)
+TEST(repeat_allowance, number_of_guards_does_not_shrink_at_once)
 {
-    repeat_allowance node(terms, true, start);
-    node.on_fleet_size(13, start);
-    const std::vector<service_cost> costs{{"shop", 1, 0}, {"deep", 4, 0}};
-    EXPECT_FALSE(node.spend(costs, start)) << "a part of 49 / 13 / 1.25";
-    EXPECT_NEAR(node.left("shop", start), 0.7 * 49 / 13 / 1.25, 1e-6)
-        << "nothing was taken";
+    repeat_allowance guard(terms, true, start);
+    guard.on_guards(40, start);
+    const double before = guard.left(start);
+    guard.on_guards(4, start + 5s); // A cut hides most of them.
+    EXPECT_DOUBLE_EQ(guard.left(start + 5s), before);
 }
 
-TEST(repeat_allowance, size_of_the_fleet_does_not_shrink_at_once)
+TEST(repeat_allowance, calls_of_repeated_runs_leave_room_for_single_calls)
 {
-    repeat_allowance node(terms, true, start);
-    node.on_fleet_size(40, start);
-    const double before = node.left("a", start);
-    node.on_fleet_size(4, start + 5s); // A cut hides most nodes.
-    EXPECT_DOUBLE_EQ(node.left("a", start + 5s), before);
+    repeat_allowance guard(terms, true, start);
+    guard.on_guards(3, start);
+    const double whole = guard.left(start);
+    while (guard.spend(repeat_cause::caller, start))
+    {
+    }
+    EXPECT_GE(guard.left(start), whole / 2 - 1);
+    EXPECT_TRUE(guard.spend(attempt, start));
 }
 
-// Pattern: every node repeats as often as it may while requests come and go.
-TEST(repeat_allowance, fleet_keeps_the_budget_in_every_window)
+// Pattern: every guard allows as many repeats as it may while requests come
+// and go.
+TEST(repeat_allowance, service_keeps_the_budget_in_every_window)
 {
-    constexpr int nodes = 13;
+    constexpr int guards = 13;
     std::mt19937 random(7);
-    std::deque<repeat_allowance> fleet;
-    for (int i = 0; i < nodes; ++i)
+    std::deque<repeat_allowance> service;
+    for (int i = 0; i < guards; ++i)
     {
-        fleet.emplace_back(terms, true, start);
-        fleet.back().on_fleet_size(nodes, start);
+        service.emplace_back(terms, true, start);
+        service.back().on_guards(guards, start);
     }
     std::deque<time_point> requests;
     std::deque<time_point> repeats;
@@ -77,12 +76,12 @@
         const int arrivals = busy ? 3 : static_cast<int>(random() % 2);
         for (int i = 0; i < arrivals; ++i)
         {
-            fleet[random() % nodes].on_client_request("a", now);
+            service[random() % guards].on_client_request(now);
             requests.push_back(now);
         }
-        for (auto& node : fleet)
+        for (auto& guard : service)
         {
-            while (node.spend(one("a"), now))
+            while (guard.spend(attempt, now))
             {
                 repeats.push_back(now);
             }
@@ -103,5 +102,29 @@
     }
 }
 
+// Pattern: a small service deep in the call graph loses answers. Nodes that
+// call it have few clients of its own, so that the budget that they could earn
+// by themselves is next to nothing.
+TEST(repeat_allowance, callers_without_own_clients_can_use_most_of_the_budget)
+{
+    constexpr int guards = 4;
+    std::deque<repeat_allowance> service;
+    for (int i = 0; i < guards; ++i)
+    {
+        service.emplace_back(repeat_terms{0.2, 106, 10s}, true, start);
+        service.back().on_guards(guards, start);
+    }
+    int spent = 0;
+    for (auto now = start; now < start + 10s; now += 10ms)
+    {
+        // 132 requests a second of its own clients, and more calls than that
+        // to be repeated.
+        const auto step = static_cast<std::size_t>((now - start) / 10ms);
+        service[step % guards].on_client_request(now);
+        spent += service[step % guards].spend(attempt, now) ? 1 : 0;
+    }
+    EXPECT_GE(spent, 0.6 * (0.2 * 1000 + 106));
+}
+
 } // namespace
 } // namespace jujubespan::mesh
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -157,6 +157,25 @@
     return value;
 }
 
+namespace
+{
+
+// A cause that a newer node added is paid for like any repeat.
+mesh::repeat_cause repeat_of(v1::RepeatCause value)
+{
+    switch (value)
+    {
+    case v1::REPEAT_CAUSE_NONE:
+        return mesh::repeat_cause::none;
+    case v1::REPEAT_CAUSE_CALLER:
+        return mesh::repeat_cause::caller;
+    default:
+        return mesh::repeat_cause::attempt;
+    }
+}
+
+} // namespace
+
 void encode(const mesh::routed_call& value, time_point now, v1::Call& out)
 {
     out.set_id(value.id);
@@ -169,6 +188,8 @@
     out.set_shed_key(value.key);
     out.set_idempotent(value.idempotent);
     out.set_under_way(value.under_way);
+    out.set_client_request(value.client_request);
+    out.set_repeat(static_cast<v1::RepeatCause>(value.repeat));
     out.set_method(value.request.verb);
     out.set_target(value.request.target);
     encode_headers(value.request.headers, out);
@@ -195,6 +216,8 @@
     value.key = in.shed_key();
     value.idempotent = in.idempotent();
     value.under_way = in.under_way();
+    value.client_request = in.client_request();
+    value.repeat = repeat_of(in.repeat());
     value.request.verb = in.method();
     value.request.target = in.target();
     value.request.headers = decode_headers(in);
