Requests that must not repeat use connections in recent use only

Cause: in the grown deployments backend servers forget idle connections; a reset of what is sent next leaves open whether it ran, and such a request may not be sent again. It now takes an idle connection only within 250 ms of its last use, or opens one. Busy servers are not affected: the connection used last is taken first.

Test: request_that_must_not_repeat_uses_fresh_connections_only.

--- a/include/jujubespan/http/client.hpp
+++ b/include/jujubespan/http/client.hpp
@@ -34,6 +34,9 @@
     /// Longest time that an idle connection is used again. A server that
     /// names a shorter one is followed.
     duration idle_time{std::chrono::seconds(1)};
+    /// The same for requests that must not be repeated: a server may have
+    /// forgotten the connection.
+    duration fresh_time{std::chrono::milliseconds(250)};
     /// Time to open a connection before it counts as unreachable.
     duration connect_time{std::chrono::seconds(1)};
     /// Header that the server echoes; a response with another value belongs
@@ -92,7 +95,8 @@
 
     void end(client_connection* connection, client_end result,
              http_response response, bool reusable);
-    std::unique_ptr<client_connection> take_idle(time_point now);
+    std::unique_ptr<client_connection> take_idle(bool repeatable,
+                                                 time_point now);
     void drop_idle(client_connection* connection);
     void drop_expired(time_point now);
 
--- a/include/jujubespan/policy/http_message.hpp
+++ b/include/jujubespan/policy/http_message.hpp
@@ -26,6 +26,10 @@
     std::vector<http_header> headers;
     std::string body;
 
+    /// False: sent only on connections in recent use, since a reset would
+    /// leave open whether it ran.
+    bool repeatable{true};
+
     bool operator==(const http_request&) const = default;
 };
 
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -132,9 +132,11 @@
         sent_ = false;
         parser_.reset();
         usable_until_ = now + lifetime;
+        rested_at_ = now;
     }
 
     [[nodiscard]] time_point usable_until() const { return usable_until_; }
+    [[nodiscard]] time_point rested_at() const { return rested_at_; }
 
 private:
     void begin_response()
@@ -298,6 +300,7 @@
     bool sent_{false};
     bool poisoned_{false}; // carried a response to an earlier request
     time_point usable_until_{};
+    time_point rested_at_{};
     int descriptor_{-1}; // while a body ends with the connection
     std::unique_ptr<QSocketNotifier> notifier_;
 };
@@ -319,7 +322,7 @@
 void client::start(std::uint64_t exchange, const http_request& request)
 {
     const auto now = boot_clock::now();
-    auto connection = take_idle(now);
+    auto connection = take_idle(request.repeatable, now);
     if (!connection)
     {
         connection = std::make_unique<client_connection>(*this);
@@ -337,10 +340,17 @@
     started->start(exchange, request);
 }
 
-std::unique_ptr<client_connection> client::take_idle(time_point now)
+std::unique_ptr<client_connection> client::take_idle(bool repeatable,
+                                                     time_point now)
 {
     while (!idle_.empty())
     {
+        // The last one was in use most recently.
+        if (!repeatable &&
+            now - idle_.back()->rested_at() > options_.fresh_time)
+        {
+            return nullptr;
+        }
         auto connection = std::move(idle_.back());
         idle_.pop_back();
         if (now < connection->usable_until() && connection->connected())
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -450,6 +450,36 @@
     EXPECT_EQ(target.connects(), 2U);
 }
 
+// Pattern: a server forgets idle connections sooner than it said, and resets
+// whatever comes next on them.
+TEST(http_client, request_that_must_not_repeat_uses_fresh_connections_only)
+{
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        { socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); });
+    recorder handler;
+    auto options = checked_options();
+    options.idle_time = 5s;
+    options.fresh_time = 100ms;
+    client target(backend.endpoint(), options, handler);
+    const auto exchange = [&](std::uint64_t id, bool repeatable)
+    {
+        auto request = get_with_id("1");
+        request.repeatable = repeatable;
+        target.start(id, request);
+        EXPECT_TRUE(wait_for([&] { return handler.ends.contains(id); }));
+    };
+    exchange(1, false);
+    exchange(2, false);
+    EXPECT_EQ(target.connects(), 1U) << "in use a moment ago";
+    wait_for([] { return false; }, 150);
+    exchange(3, true);
+    EXPECT_EQ(target.connects(), 1U) << "may be repeated";
+    wait_for([] { return false; }, 150);
+    exchange(4, false);
+    EXPECT_EQ(target.connects(), 2U);
+}
+
 // Pattern: a server answers before it has read a long body and reads on.
 TEST(http_client, connection_with_an_unsent_body_is_not_used_again)
 {
