--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -65,7 +65,8 @@
     std::unique_ptr<QTcpSocket> connect(const QByteArray& bytes)
     {
         auto socket = std::make_unique<QTcpSocket>();
-        socket->connectToHost("127.0.0.1", address.port);
+        socket->connectToHost(QString::fromStdString(address.host),
+                              address.port);
         socket->write(bytes);
         return socket;
     }
