Only client requests that run earn repeats

Cause: read in the diff. A guard counted a client request when it was offered; under overload a refused request is offered to up to four guards, each of which counted it, so that a service could take more repeats than its budget.

--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -127,15 +127,8 @@
 
 bool guard::pay_for_repeat(const routed_call& call, time_point now)
 {
-    if (call.repeat != repeat_cause::none)
-    {
-        return repeats_.spend(call.repeat, now);
-    }
-    if (call.client_request)
-    {
-        repeats_.on_client_request(now);
-    }
-    return true;
+    return call.repeat == repeat_cause::none ||
+           repeats_.spend(call.repeat, now);
 }
 
 void guard::on_call(std::uint64_t exchange, routed_call call, time_point now)
@@ -182,6 +175,11 @@
     call.running = true;
     call.started = now;
     const auto& message = call.message;
+    // Not before: what is refused here may be counted by another guard.
+    if (message.client_request && message.repeat == repeat_cause::none)
+    {
+        repeats_.on_client_request(now);
+    }
     shared_.running.begin(message.request_id,
                           {message.key,
                            message.deadline,
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -74,7 +74,8 @@
     }
 
     void call(std::uint64_t exchange, shed_key key = 0, bool under_way = false,
-              duration left = 1s, repeat_cause repeat = repeat_cause::none)
+              duration left = 1s, repeat_cause repeat = repeat_cause::none,
+              bool client_request = false)
     {
         routed_call message;
         message.id = exchange;
@@ -87,6 +88,7 @@
         message.key = key;
         message.under_way = under_way;
         message.repeat = repeat;
+        message.client_request = client_request;
         message.request.verb = "GET";
         message.request.target = "/r/1";
         message.request.headers = {{names.caller_service, "forged"}};
@@ -278,5 +280,55 @@
     EXPECT_TRUE(backend.requests.contains(calls + 1)) << "not a repeat";
 }
 
+// Pattern: overload. A request that one guard refuses is offered to others; if
+// each counted it, the service would take more repeats than it may.
+TEST_F(guarding, refused_client_requests_earn_no_repeats)
+{
+    constexpr std::uint64_t offered = 400;
+    for (std::uint64_t i = 1; i <= offered; ++i)
+    {
+        call(i, 0, false, 1s, repeat_cause::none, true);
+    }
+    EXPECT_EQ(reply(offered).reason, reason::queue_full);
+    for (std::uint64_t i = 1; i <= offered; ++i)
+    {
+        target.on_withdrawn(i, now);
+    }
+    const auto ran = backend.requests.size();
+    constexpr std::uint64_t calls = 60;
+    for (std::uint64_t i = offered + 1; i <= offered + calls; ++i)
+    {
+        call(i, 0, false, 1s, repeat_cause::attempt);
+        if (backend.requests.contains(i))
+        {
+            answer(i, 200, {{names.signature, "x"}});
+        }
+    }
+    const auto repeats = static_cast<double>(backend.requests.size() - ran);
+    EXPECT_LE(repeats, 10 + 0.2 * static_cast<double>(ran));
+}
+
+TEST_F(guarding, client_requests_that_run_earn_repeats)
+{
+    constexpr std::uint64_t requests = 200;
+    for (std::uint64_t i = 1; i <= requests; ++i)
+    {
+        now += 10ms;
+        call(i, 0, false, 1s, repeat_cause::none, true);
+        answer(i, 200, {{names.signature, "x"}});
+    }
+    constexpr std::uint64_t calls = 60;
+    for (std::uint64_t i = requests + 1; i <= requests + calls; ++i)
+    {
+        call(i, 0, false, 1s, repeat_cause::attempt);
+        if (backend.requests.contains(i))
+        {
+            answer(i, 200, {{names.signature, "x"}});
+        }
+    }
+    EXPECT_GE(backend.requests.size(), requests + 30);
+    EXPECT_LE(backend.requests.size(), requests + 50);
+}
+
 } // namespace
 } // namespace jujubespan::mesh
