--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import shutil
+import signal
 import sys
 import time
 
@@ -44,7 +45,10 @@
     fleet = Fleet(seed, 20 + (options.lane % LANES), options.nodes,
                   options.clients)
     start = time.monotonic()
-    found, figures = run_bounded(fleet.run(options.seconds))
+    try:
+        found, figures = run_bounded(fleet.run(options.seconds))
+    finally:
+        fleet.kill_nodes()  # Also after an interruption.
     fleet.write_notes(found)
     took = time.monotonic() - start
     print(f"seed {seed}: {'FAILED' if found else 'passed'} in {took:.0f} s, "
@@ -75,6 +79,7 @@
     parser.add_argument("--lane", type=int, default=0,
                         help="keeps soaks that run at once apart")
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     first = int(time.time()) if options.seed is None else options.seed
     seeds = read_cases() if options.cases else range(first,
                                                      first + options.seeds)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -123,8 +123,8 @@
     def stop(self):
         for task in self.tasks:
             task.cancel()
+        self.kill_nodes()
         for node in self.nodes:
-            node.kill()
             node.calls.close()
             node.store.close()
         self.store.close()
@@ -132,6 +132,10 @@
             if server.server is not None:
                 server.stop(remove=False)
 
+    def kill_nodes(self):
+        for node in self.nodes:
+            node.kill()
+
     def write_notes(self, found):
         lines = [f"{at:8.2f} {text}" for at, text in self.ledger.notes]
         (self.directory / "faults.txt").write_text("\n".join(lines) + "\n")
