--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import os
 import shutil
 import signal
 import sys
@@ -47,8 +48,12 @@
     start = time.monotonic()
     try:
         found, figures = run_bounded(fleet.run(options.seconds))
-    finally:
-        fleet.kill_nodes()  # Also after an interruption.
+    except (KeyboardInterrupt, SystemExit):
+        fleet.kill_nodes()
+        os._exit(1)  # Without the ends of all stand-ins' tasks.
+    except Exception:
+        fleet.kill_nodes()
+        raise
     fleet.write_notes(found)
     took = time.monotonic() - start
     print(f"seed {seed}: {'FAILED' if found else 'passed'} in {took:.0f} s, "
