--- a/include/jujubespan/peer/routed_transport.hpp
+++ b/include/jujubespan/peer/routed_transport.hpp
@@ -27,8 +27,7 @@
     /// @param self address by which other nodes know this one.
     /// @param listen address at which their calls arrive.
     routed_transport(zmq::context_t& context, const config::endpoint& self,
-                     const config::endpoint& listen,
-                     std::uint64_t incarnation);
+                     const config::endpoint& listen, std::uint64_t incarnation);
 
     /// @brief Sets the receivers; call before `bind`.
     void attach(mesh::egress& way_out, mesh::guard& gate);
--- a/src/jujubespan/config/mesh_settings_test.cpp
+++ b/src/jujubespan/config/mesh_settings_test.cpp
@@ -39,7 +39,8 @@
 
 TEST(mesh_settings, calls_arrive_at_the_call_address_unless_said_otherwise)
 {
-    const auto direct = parse_mesh_settings(settings_with("\"first_start\": true"), "node.json");
+    const auto direct = parse_mesh_settings(
+        settings_with("\"first_start\": true"), "node.json");
     ASSERT_TRUE(direct.ok()) << direct.status();
     EXPECT_EQ(direct->call_listen_address, std::nullopt);
     const auto forwarded = parse_mesh_settings(
