Requests no longer leave instances that fall silent

Cause: withdrew requests from an instance that owed answers and sent none for three times its latency, 250 ms while that was not known.

--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -48,14 +48,6 @@
     void on_end(std::string_view id, attempt_end end, duration latency,
                 time_point now);
 
-    /// @brief Instances that owe answers and have sent none for too long.
-    [[nodiscard]] std::vector<std::string>
-    silent_instances(time_point now) const;
-
-    /// @brief Calls no longer wait for a silent instance; it is avoided for a
-    /// while.
-    void on_silent(std::string_view id, time_point now);
-
     void on_load(std::string_view id, upstream_load load, time_point now);
 
     /// @brief The node of an instance said that it is stopping.
@@ -86,7 +78,6 @@
     };
 
     member* find(std::string_view id);
-    static void avoid(member& m, time_point now);
     [[nodiscard]] static double failures_of(const member& m, time_point now);
     [[nodiscard]] static double load_of(const member& m, time_point now);
     [[nodiscard]] bool near(const member& m) const;
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -118,8 +118,6 @@
                        time_point now);
     [[nodiscard]] bool may_repeat(open_call& call, const engine::answer& last,
                                   time_point now);
-    void leave_silent_instances(time_point now);
-    [[nodiscard]] bool may_leave(const open_call& call, time_point now) const;
     [[nodiscard]] bool no_repeats(std::string_view service,
                                   time_point now) const;
     void finish(open_call& call, const engine::answer& last, time_point now);
@@ -142,8 +140,6 @@
     route_costs costs_;
     call_map calls_;
     time_point next_pressure_{};
-    time_point next_silence_check_{};
-    time_point last_tick_{};
     bool closed_{false};
     absl::flat_hash_map<std::uint64_t, std::uint64_t> by_exchange_;
     absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -288,7 +288,10 @@
     m->in_flight -= m->in_flight > 0 ? 1 : 0;
     if (end == attempt_end::unreachable)
     {
-        avoid(*m, now);
+        const auto factor = 1U << std::min(m->unreachable, 4U);
+        m->avoid_until =
+            now + std::min(first_avoidance * factor, longest_avoidance);
+        ++m->unreachable;
         return;
     }
     if (end == attempt_end::withdrawn)
@@ -310,34 +313,6 @@
     }
 }
 
-void balancer::avoid(member& m, time_point now)
-{
-    const auto factor = 1U << std::min(m.unreachable, 4U);
-    m.avoid_until = now + std::min(first_avoidance * factor, longest_avoidance);
-    ++m.unreachable;
-}
-
-std::vector<std::string> balancer::silent_instances(time_point now) const
-{
-    std::vector<std::string> ids;
-    for (const auto& m : members_)
-    {
-        if (silent(m, now))
-        {
-            ids.push_back(m.info.id);
-        }
-    }
-    return ids;
-}
-
-void balancer::on_silent(std::string_view id, time_point now)
-{
-    if (member* m = find(id))
-    {
-        avoid(*m, now);
-    }
-}
-
 void balancer::on_load(std::string_view id, upstream_load load, time_point now)
 {
     if (member* m = find(id))
--- a/src/jujubespan/mesh/egress_ends.cpp
+++ b/src/jujubespan/mesh/egress_ends.cpp
@@ -18,11 +18,6 @@
 using engine::reason;
 
 constexpr duration pressure_interval = std::chrono::milliseconds(20);
-constexpr duration silence_interval = std::chrono::milliseconds(50);
-// Ticks come every 20 ms; one this late means that this node stood still or is
-// slow, and silence of others says nothing for a while.
-constexpr duration late_tick = std::chrono::milliseconds(100);
-constexpr duration after_late_tick = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -105,17 +100,6 @@
         next_pressure_ = now + pressure_interval;
         observe_pressure(now);
     }
-    if (now - last_tick_ > late_tick)
-    {
-        // Answers may be waiting to be read: this node itself stood still.
-        next_silence_check_ = now + after_late_tick;
-    }
-    last_tick_ = now;
-    if (now >= next_silence_check_)
-    {
-        next_silence_check_ = now + silence_interval;
-        leave_silent_instances(now);
-    }
     shared_.admission.on_tick(now);
 }
 
@@ -125,52 +109,6 @@
     return until != no_repeats_until_.end() && now < until->second;
 }
 
-bool egress::may_leave(const open_call& call, time_point now) const
-{
-    return call.message.idempotent &&
-           call.arrivals + 1 < call.path->max_attempts &&
-           call.tried.size() < most_attempts &&
-           now + shortest_attempt < call.answer_by &&
-           !no_repeats(call.message.service, now);
-}
-
-// What may be repeated does not wait until the connection to a machine that
-// froze or was cut off counts as lost.
-void egress::leave_silent_instances(time_point now)
-{
-    for (auto& [service, targets] : balancers_)
-    {
-        for (const auto& instance : targets.silent_instances(now))
-        {
-            std::vector<std::uint64_t> left;
-            for (const auto& [id, call] : calls_)
-            {
-                if (call.instance == instance && may_leave(call, now))
-                {
-                    left.push_back(id);
-                }
-            }
-            if (left.empty())
-            {
-                continue;
-            }
-            targets.on_silent(instance, now);
-            log(log_level::warn, "instance_silent",
-                "instance={} service={} calls_sent_elsewhere={}", instance,
-                service, left.size());
-            for (const auto id : left)
-            {
-                open_call call = take(calls_.find(id));
-                withdraw(id, call, now);
-                ++call.arrivals;
-                call.may_have_run = true;
-                advance(std::move(call),
-                        engine::unknown_outcome(reason::peer_lost), now);
-            }
-        }
-    }
-}
-
 void egress::finish(open_call& call, const answer& last, time_point now)
 {
     // The last attempt was refused, but an earlier one may have run.
