Descriptors are registered anew only when their events change

Test: descriptor_that_is_opened_again_at_once_is_watched (fails when only changed events are registered).

--- a/include/jujubespan/node/epoll_dispatcher.hpp
+++ b/include/jujubespan/node/epoll_dispatcher.hpp
@@ -58,6 +58,8 @@
         std::array<QSocketNotifier*, 3> notifiers{};
         unsigned events{0}; // those that the kernel watches
         bool changed{false};
+        bool vacant{false}; // had no notifier since the last change: may have
+                            // been closed and opened again
     };
 
     struct timer
--- a/src/jujubespan/node/epoll_dispatcher.cpp
+++ b/src/jujubespan/node/epoll_dispatcher.cpp
@@ -9,6 +9,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdint>
 #include <cstring>
@@ -129,7 +130,12 @@
     {
         return;
     }
-    found->second.notifiers[notifier->type()] = nullptr;
+    auto& notifiers = found->second.notifiers;
+    notifiers[notifier->type()] = nullptr;
+    found->second.vacant =
+        found->second.vacant ||
+        std::all_of(notifiers.begin(), notifiers.end(),
+                    [](const auto* item) { return item == nullptr; });
     note_change(descriptor);
 }
 
@@ -157,7 +163,12 @@
             events |=
                 entry.notifiers[type] != nullptr ? events_of_type[type] : 0;
         }
-        update(descriptor, entry, events);
+        // Each write enables and disables a notifier.
+        if (events != entry.events || entry.vacant)
+        {
+            update(descriptor, entry, events);
+        }
+        entry.vacant = false;
         if (events == 0)
         {
             watched_.erase(descriptor);
--- a/src/jujubespan/node/epoll_dispatcher_test.cpp
+++ b/src/jujubespan/node/epoll_dispatcher_test.cpp
@@ -155,6 +155,34 @@
     }
 }
 
+TEST(epoll_dispatcher, descriptor_that_is_opened_again_at_once_is_watched)
+{
+    loop_thread loop;
+    std::atomic<int> reads{0};
+    std::unique_ptr<pipe_pair> pipe;
+    std::unique_ptr<QSocketNotifier> notifier;
+    const auto open = [&]
+    {
+        notifier.reset();
+        pipe.reset();
+        pipe = std::make_unique<pipe_pair>();
+        notifier =
+            std::make_unique<QSocketNotifier>(pipe->out, QSocketNotifier::Read);
+        QObject::connect(notifier.get(), &QSocketNotifier::activated,
+                         notifier.get(),
+                         [&]
+                         {
+                             pipe->read();
+                             ++reads;
+                         });
+    };
+    loop.run(open);
+    loop.run(open); // The same descriptors, within one turn.
+    pipe->write();
+    EXPECT_TRUE(eventually([&] { return reads == 1; }));
+    loop.run([&] { notifier.reset(); });
+}
+
 TEST(epoll_dispatcher, notifier_may_be_removed_by_a_handler_before_it)
 {
     const pipe_pair first;
