--- /dev/null
+++ b/src/jujubespan/http/recorder_testing.hpp
@@ -0,0 +1,37 @@
+#ifndef JUJUBESPAN_HTTP_RECORDER_TESTING_HPP
+#define JUJUBESPAN_HTTP_RECORDER_TESTING_HPP
+
+#include "jujubespan/http/client.hpp"
+#include "jujubespan/http/server.hpp"
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace jujubespan::http::testing
+{
+
+/// @brief Keeps what a server and a client report.
+class recorder final : public request_handler, public response_handler
+{
+public:
+    void on_request(std::uint64_t exchange, http_request request) override
+    {
+        requests[exchange] = std::move(request);
+    }
+    void on_gone(std::uint64_t exchange) override { gone.push_back(exchange); }
+    void on_end(std::uint64_t exchange, client_end end,
+                http_response response) override
+    {
+        ends[exchange] = {end, std::move(response)};
+    }
+
+    std::map<std::uint64_t, http_request> requests;
+    std::vector<std::uint64_t> gone;
+    std::map<std::uint64_t, std::pair<client_end, http_response>> ends;
+};
+
+} // namespace jujubespan::http::testing
+
+#endif
