--- a/soak/backend.py
+++ b/soak/backend.py
@@ -1,25 +1,19 @@
 """Stand-in of a backend server beside a node."""
 
 import asyncio
-import hashlib
 import itertools
 import random
 import time
 
 import store_standin as names
 from soak import http, plan
-from soak.client import exchange
+from soak.client import exchange, signature
 from soak.ledger import Run, Sent
 
 WORK_S = 0.02
 IDLE_S = 8.0  # an idle connection is closed after this time
 
 
-def signature(request_id, instance):
-    text = f"{request_id} {instance}".encode()
-    return hashlib.sha256(text).hexdigest()[:16]
-
-
 class Backend:
     """Runs requests, calls the next service, and misbehaves when told."""
 
--- a/soak/client.py
+++ b/soak/client.py
@@ -7,13 +7,19 @@
 import time
 
 import store_standin as names
-from soak import http, plan
+from soak import http
 from soak.ledger import Sent
 
 DEADLINE_S = 3.0
 CONNECT_S = 1.0
 
 
+def signature(request_id, instance):
+    """What a backend server signs its answers with."""
+    text = f"{request_id} {instance}".encode()
+    return hashlib.sha256(text).hexdigest()[:16]
+
+
 async def exchange(ledger, sent, address, deadline_s, link=None):
     """Sends a request and waits for its answer.
 
@@ -77,8 +83,7 @@
     words = answer.body.decode("latin-1").split(" ")
     if len(words) != 2 or words[0] != sent.id:
         return "body of another request"
-    expected = hashlib.sha256(
-        f"{words[0]} {words[1]}".encode()).hexdigest()[:16]
+    expected = signature(words[0], words[1])
     return "" if proof == expected else "signature does not match"
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,6 @@
 import time
 
 import store_standin as names
-from soak import plan
 
 SHORTEST_S = 0.5
 LONGEST_S = 4.0
