Read a configuration entry by entry; add uploads as a kind of request

Cause: any unreadable entry or unknown word threw the whole configuration away.

Change: uploads are a kind of request that runs at most once. An unknown or unreadable kind is treated in the same way. An unreadable field gets its most cautious value, an entry that cannot match a request is left out, and a route without a readable target still matches and refuses its requests, so that they do not reach the service of a shorter prefix. Each defect has a log line; the gauge jujubespan_configuration_defects counts them.

--- a/include/jujubespan/mesh/configuration.hpp
+++ b/include/jujubespan/mesh/configuration.hpp
@@ -22,20 +22,35 @@
     bool operator==(const route_target&) const = default;
 };
 
+/// @brief Whether a request may run more than once.
+enum class request_kind : std::uint8_t
+{
+    non_idempotent, ///< Runs at most once.
+    idempotent,
+    upload ///< Has a large body; runs at most once.
+};
+
 /// @brief Target and treatment of the requests of one host and path prefix.
 struct route
 {
     std::string name;
     std::string host;
     std::string prefix; ///< Begins and ends with a slash.
-    bool idempotent{false};
+    request_kind kind{request_kind::non_idempotent};
     duration timeout{}; ///< Zero: no timeout.
     /// Latency objective; zero when there is none.
     duration objective{};
     std::uint32_t priority{0}; ///< Zero is the highest: refused last.
     std::uint32_t max_attempts{1};
+    /// Empty when the configuration names no readable target: requests match
+    /// the route and are refused.
     std::vector<route_target> targets;
 
+    [[nodiscard]] bool idempotent() const
+    {
+        return kind == request_kind::idempotent;
+    }
+
     bool operator==(const route&) const = default;
 };
 
@@ -68,6 +83,8 @@
     std::vector<route> routes;
     std::vector<backend_options> services;
     client_limits clients;
+    /// Describes each entry or field that could not be read.
+    std::vector<std::string> defects;
 
     bool operator==(const configuration&) const = default;
 };
@@ -87,6 +104,7 @@
 
     /// @brief Selects a target by smooth weighted round robin, so that short
     /// sequences of requests are also divided by weight.
+    /// @return empty if the route has no target.
     [[nodiscard]] std::string_view choose_target(const route& matched);
 
     [[nodiscard]] const backend_options*
--- a/include/jujubespan/node/mesh_control.hpp
+++ b/include/jujubespan/node/mesh_control.hpp
@@ -58,6 +58,7 @@
     mesh::discovery* source_{nullptr};
     mesh::instance_directory directory_;
     std::uint64_t configuration_version_{0};
+    std::size_t configuration_defects_{0};
     bool discovery_complete_{false};
     bool discovery_interrupted_{false};
     bool publish_scheduled_{false};
--- a/include/jujubespan/node/mesh_report_text.hpp
+++ b/include/jujubespan/node/mesh_report_text.hpp
@@ -14,6 +14,8 @@
     std::uint64_t discovery_calls{0};
     std::uint64_t discovery_revision{0};
     std::size_t instance_count{0};
+    /// Unreadable entries and fields of the configuration in force.
+    std::size_t configuration_defects{0};
     bool discovery_interrupted{false};
 };
 
--- a/src/jujubespan/mesh/configuration.cpp
+++ b/src/jujubespan/mesh/configuration.cpp
@@ -51,6 +51,10 @@
 
 std::string_view route_table::choose_target(const route& matched)
 {
+    if (matched.targets.empty())
+    {
+        return {};
+    }
     if (matched.targets.size() == 1)
     {
         return matched.targets.front().service;
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -141,11 +141,15 @@
     {
         return engine::make_refusal(reason::leaving);
     }
+    if (call.matched_route->targets.empty())
+    {
+        return engine::make_refusal(reason::no_upstream);
+    }
     set_deadline(request, now, call);
     auto& message = call.message;
     message.service = table_->choose_target(*call.matched_route);
     message.route = call.matched_route->name;
-    message.idempotent = call.matched_route->idempotent;
+    message.idempotent = call.matched_route->idempotent();
     const auto* parent = shared_.running.find_parent(message.request_id);
     call.is_nested = parent != nullptr;
     if (call.is_nested)
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -61,7 +61,8 @@
     value.name = std::move(name);
     value.host = "shop.example";
     value.prefix = std::move(prefix);
-    value.idempotent = idempotent;
+    value.kind =
+        idempotent ? request_kind::idempotent : request_kind::non_idempotent;
     value.timeout = 800ms;
     value.objective = 1s;
     value.max_attempts = 2;
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -7,6 +7,9 @@
 
 #include <QFileInfo>
 
+#include <algorithm>
+#include <span>
+
 namespace jujubespan::node
 {
 
@@ -15,6 +18,8 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds(100);
 constexpr unsigned ticks_per_file_check = 10;
+// Further defects of a configuration are only counted.
+constexpr std::size_t max_logged_defects = 16;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 
@@ -80,9 +85,17 @@
         return;
     }
     log(log_level::info, "configuration_applied",
-        "version={} before={} routes={} revision={}", next->version,
-        configuration_version_, next->routes.size(), source_->revision());
+        "version={} before={} routes={} defects={} revision={}", next->version,
+        configuration_version_, next->routes.size(), next->defects.size(),
+        source_->revision());
+    const auto logged = std::min(next->defects.size(), max_logged_defects);
+    for (const auto& defect : std::span(next->defects).first(logged))
+    {
+        log(log_level::error, "configuration_defect", "version={} why=\"{}\"",
+            next->version, defect);
+    }
     configuration_version_ = next->version;
+    configuration_defects_ = next->defects.size();
     traffic_.post_task([this, next] { traffic_.apply_configuration(next); });
 }
 
@@ -225,6 +238,7 @@
     control.discovery_calls = source_->calls();
     control.discovery_revision = source_->revision();
     control.instance_count = directory_.size();
+    control.configuration_defects = configuration_defects_;
     control.discovery_interrupted = discovery_interrupted_;
     response.status = status_ok;
     response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -129,6 +129,9 @@
               traffic.guard_load.limit);
     add_gauge(out, "jujubespan_configuration_version", "Version in force.",
               static_cast<double>(traffic.configuration_version));
+    add_gauge(out, "jujubespan_configuration_defects",
+              "Unreadable entries and fields of the configuration in force.",
+              static_cast<double>(control.configuration_defects));
     add_gauge(out, "jujubespan_discovery_revision", "Revision read up to.",
               static_cast<double>(control.discovery_revision));
     add_gauge(out, "jujubespan_instances", "Instances known.",
