Read the discovery source once for each failure domain

Cause: every node watched the source for itself.

Change: one node of each failure domain, on which all nodes with the same list agree without messages, reads and forwards the changes with a heartbeat; a second one takes over within a second. Every message between nodes carries the highest revision applied by its sender. A node reads for itself when updates stop, when changes are missing, when a message shows a change that has not arrived within 0.9 s, while its own reads fail, and at its start. Changes above 64 KiB are announced and then read by each node.

The decision is mesh::discovery_sharing, without network or clock; its tests run fleets of 30 to 300 nodes with killed readers, readers cut off from the source, nodes cut off from each other, and series of changes: calls do not grow with the fleet and every node that reaches the source knows a change within two seconds.

--- a/include/jujubespan/mesh/discovery.hpp
+++ b/include/jujubespan/mesh/discovery.hpp
@@ -4,6 +4,7 @@
 #include "jujubespan/config/endpoint.hpp"
 #include "jujubespan/mesh/configuration.hpp"
 #include "jujubespan/policy/instance.hpp"
+#include "jujubespan/policy/versioned_map.hpp"
 
 #include <absl/status/status.h>
 
@@ -33,6 +34,11 @@
 
     virtual void on_interrupted(const absl::Status& error) = 0;
     virtual void on_restored() = 0;
+
+    /// @brief The source answered. Called after the handlers of the changes.
+    /// @param changes all changes between two revisions, in the encoding of the
+    /// source; other nodes pass them to `discovery::apply`.
+    virtual void on_read(const versioned_delta& changes) = 0;
 };
 
 /// @brief Read-only source of the configuration and the instances.
@@ -47,11 +53,21 @@
     /// @brief Connects to another address.
     virtual void set_address(const config::endpoint& address) = 0;
 
+    /// @brief Starts or stops reading. A call in progress is completed.
+    virtual void set_reading(bool enabled) = 0;
+
+    /// @brief Applies changes that another node has read.
+    /// @return `gap` if changes before them are missing.
+    virtual delta_result apply(const versioned_delta& changes) = 0;
+
     /// @brief Number of calls made to the source.
     [[nodiscard]] virtual std::uint64_t calls() const = 0;
 
     /// @brief Latest revision that was read.
     [[nodiscard]] virtual std::uint64_t revision() const = 0;
+
+    /// @brief Highest revision of a change that was applied.
+    [[nodiscard]] virtual std::uint64_t applied_revision() const = 0;
 };
 
 } // namespace jujubespan::mesh
--- /dev/null
+++ b/include/jujubespan/mesh/discovery_sharing.hpp
@@ -0,0 +1,151 @@
+#ifndef JUJUBESPAN_MESH_DISCOVERY_SHARING_HPP
+#define JUJUBESPAN_MESH_DISCOVERY_SHARING_HPP
+
+#include "jujubespan/mesh/instance_directory.hpp"
+#include "jujubespan/policy/time.hpp"
+#include "jujubespan/policy/versioned_map.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubespan::mesh
+{
+
+/// @brief Changes that one node read from the discovery source and sends to
+/// others. Without changes it tells them that the sender is still reading.
+struct discovery_update
+{
+    versioned_delta changes;
+    duration age{}; ///< Time since the source last answered the sender.
+};
+
+/// @brief Receives what other nodes report about the discovery source.
+class discovery_update_handler
+{
+public:
+    virtual ~discovery_update_handler() = default;
+
+    virtual void on_update(std::string_view peer,
+                           const discovery_update& update) = 0;
+
+    /// @brief A message shows that a node has applied a change with this
+    /// revision, which is higher than any seen before.
+    virtual void on_revision_seen(std::uint64_t revision) = 0;
+};
+
+/// @brief Part of a node in reading the discovery source for its failure
+/// domain.
+enum class reader_role
+{
+    primary,   ///< Always reads, and forwards what it reads.
+    standby,   ///< Reads and forwards soon after the primary falls silent.
+    subscriber ///< Reads for itself when no update arrives.
+};
+
+std::string_view to_string(reader_role role);
+
+/// @brief Decides whether a node reads the discovery source itself or relies on
+/// the updates of another node, so that the number of calls to the source does
+/// not grow with the fleet.
+///
+/// All nodes of a failure domain with the same list of instances agree on their
+/// roles without exchanging messages. Nodes whose lists differ may both read,
+/// which is harmless. A node reads for itself when updates stop arriving, when
+/// it misses changes, or when a message from any node shows that it has missed
+/// a change. No rule of the mesh depends on another node's diligence alone.
+class discovery_sharing
+{
+public:
+    /// @param backend_address backend server of this node, by which it finds
+    /// its own entry in the list of instances.
+    discovery_sharing(std::string failure_domain, std::string backend_address);
+
+    /// @brief Determines the role and the subscribers of this node.
+    void apply(const instance_directory& list);
+
+    /// @brief The source answered a call of this node.
+    void on_own_read(std::uint64_t revision, time_point now);
+
+    /// @brief A call of this node to the source failed.
+    void on_interrupted();
+
+    /// @brief Another node's update was applied.
+    /// @param age of the update.
+    void on_update(std::uint64_t revision, duration age, time_point now);
+
+    /// @brief Another node's update could not be applied, since changes before
+    /// it are missing.
+    void on_gap();
+
+    /// @brief A message shows that a node has applied a change with this
+    /// revision.
+    void on_revision_seen(std::uint64_t revision)
+    {
+        seen_revision_ = std::max(seen_revision_, revision);
+    }
+
+    /// @brief Whether this node must read the source itself.
+    /// @param revision up to which it knows all changes.
+    [[nodiscard]] bool should_read(std::uint64_t revision, time_point now);
+
+    /// @brief Whether this node forwards updates to its subscribers.
+    [[nodiscard]] bool should_forward(time_point now) const;
+
+    /// @brief Whether a heartbeat to the subscribers is due; true once per
+    /// interval.
+    [[nodiscard]] bool heartbeat_due(time_point now);
+
+    [[nodiscard]] discovery_update make_heartbeat(time_point now) const;
+
+    /// @brief The update to send to the subscribers. Changes that are too large
+    /// to send are left out; the subscribers then read them.
+    [[nodiscard]] discovery_update make_update(versioned_delta changes,
+                                               time_point now) const;
+
+    /// @brief Addresses of the other nodes of the failure domain.
+    [[nodiscard]] std::span<const std::string> subscribers() const
+    {
+        return subscribers_;
+    }
+
+    /// @brief Time at which the source last answered this node, or a node whose
+    /// update arrived here.
+    [[nodiscard]] std::optional<time_point> last_contact() const
+    {
+        return last_contact_;
+    }
+
+    [[nodiscard]] reader_role role() const { return role_; }
+
+private:
+    [[nodiscard]] bool updates_arrive(time_point now) const;
+    [[nodiscard]] bool misses_change(std::uint64_t revision, time_point now);
+    void record_contact(time_point at);
+
+    std::string failure_domain_;
+    std::string backend_address_;
+    reader_role role_{reader_role::subscriber};
+    std::vector<std::string> subscribers_;
+    bool reading_{true};
+    bool interrupted_{false};
+    /// A gap in the updates, or the first state, is to be read.
+    bool must_read_{true};
+    std::optional<time_point> last_own_read_;
+    std::optional<time_point> last_update_;
+    std::optional<time_point> last_contact_;
+    time_point next_heartbeat_{};
+    std::uint64_t confirmed_revision_{0}; ///< Of the last own read.
+    std::uint64_t seen_revision_{0};
+    /// The oldest seen revision that is not applied yet, and since when.
+    std::uint64_t missing_revision_{0};
+    time_point missing_since_{};
+};
+
+} // namespace jujubespan::mesh
+
+#endif
--- a/include/jujubespan/node/mesh_control.hpp
+++ b/include/jujubespan/node/mesh_control.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESPAN_NODE_MESH_CONTROL_HPP
 
 #include "jujubespan/mesh/discovery.hpp"
+#include "jujubespan/mesh/discovery_sharing.hpp"
 #include "jujubespan/node/mesh_loop.hpp"
 
 #include <QDateTime>
@@ -9,6 +10,7 @@
 #include <QTimer>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace jujubespan::node
@@ -18,6 +20,7 @@
 /// file and serves metrics for a node that routes requests. Lives on the
 /// control thread.
 class mesh_control final : private mesh::discovery_handler,
+                           private mesh::discovery_update_handler,
                            private http::request_handler
 {
 public:
@@ -44,10 +47,20 @@
     void on_complete(std::span<const std::string> ids) override;
     void on_interrupted(const absl::Status& error) override;
     void on_restored() override;
+    void on_read(const versioned_delta& changes) override;
+
+    // Called on the traffic thread.
+    void on_update(std::string_view peer,
+                   const mesh::discovery_update& update) override;
+    void on_revision_seen(std::uint64_t revision) override;
 
     void on_request(std::uint64_t exchange, http_request request) override;
     void on_client_disconnected(std::uint64_t exchange) override;
 
+    void apply_update(const std::string& peer,
+                      const mesh::discovery_update& update);
+    void forward(const mesh::discovery_update& update);
+    void update_reading();
     void schedule_publish();
     void on_tick();
 
@@ -57,6 +70,13 @@
     mesh_loop& traffic_;
     mesh::discovery* source_{nullptr};
     mesh::instance_directory directory_;
+    mesh::discovery_sharing sharing_;
+    mesh::reader_role reader_role_{mesh::reader_role::subscriber};
+    bool reading_{true}; ///< This node reads the discovery source itself.
+    /// Last contact with the source, through another node, before this node
+    /// began to read for itself.
+    std::optional<time_point> contact_before_reading_;
+    std::uint64_t announced_revision_{0};
     std::uint64_t configuration_version_{0};
     std::size_t configuration_defects_{0};
     bool discovery_complete_{false};
--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
 
 namespace jujubespan::node
 {
@@ -54,6 +55,20 @@
 
     void apply_configuration(std::shared_ptr<const mesh::configuration> next);
     void apply_instances(std::shared_ptr<const mesh::instance_directory> list);
+    /// @brief Sets the receiver of discovery updates; null: none.
+    void set_update_handler(mesh::discovery_update_handler* handler)
+    {
+        peers_.set_update_handler(handler);
+    }
+    void set_discovery_revision(std::uint64_t revision)
+    {
+        peers_.set_discovery_revision(revision);
+    }
+    void send_update(std::span<const std::string> peers,
+                     const mesh::discovery_update& update)
+    {
+        peers_.send_update(peers, update, boot_clock::now());
+    }
     void apply_retry_budget(const mesh::retry_budget_options& options)
     {
         guard_.apply(options);
--- a/include/jujubespan/node/mesh_report_text.hpp
+++ b/include/jujubespan/node/mesh_report_text.hpp
@@ -17,6 +17,7 @@
     /// Unreadable entries and fields of the configuration in force.
     std::size_t configuration_defects{0};
     bool discovery_interrupted{false};
+    bool reads_discovery{false}; ///< False: gets updates from another node.
 };
 
 /// @brief Formats both reports in the Prometheus text format.
--- a/include/jujubespan/peer/codec.hpp
+++ b/include/jujubespan/peer/codec.hpp
@@ -3,6 +3,7 @@
 
 #include "jujubespan/engine/call.hpp"
 #include "jujubespan/mesh/call.hpp"
+#include "jujubespan/mesh/discovery_sharing.hpp"
 #include "jujubespan/policy/versioned_map.hpp"
 
 #include <optional>
@@ -45,6 +46,11 @@
 void encode(topic topic_id, const versioned_delta& delta, v1::Delta& out);
 versioned_delta decode(const v1::Delta& in);
 
+void encode(const mesh::discovery_update& update, v1::Delta& out);
+
+/// @return empty if the delta is not a discovery update or is inconsistent.
+std::optional<mesh::discovery_update> decode_discovery(const v1::Delta& in);
+
 } // namespace jujubespan::peer
 
 #endif
--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -92,6 +92,12 @@
     /// are no longer listed, or whose address or key has changed, are closed.
     void set_peers(std::span<const peer_address> peers);
 
+    /// @brief Sets the discovery revision that all messages carry.
+    void set_discovery_revision(std::uint64_t revision)
+    {
+        discovery_revision_ = revision;
+    }
+
     [[nodiscard]] bool has_address(std::string_view peer) const
     {
         return addresses_.contains(peer);
@@ -135,6 +141,7 @@
     zmq::context_t& context_;
     std::string own_id_;
     std::uint64_t incarnation_;
+    std::uint64_t discovery_revision_{0};
     config::peer_keys keys_;
     message_handler& handler_;
     connection_options connection_options_;
--- a/include/jujubespan/peer/routed_transport.hpp
+++ b/include/jujubespan/peer/routed_transport.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBESPAN_PEER_ROUTED_TRANSPORT_HPP
 #define JUJUBESPAN_PEER_ROUTED_TRANSPORT_HPP
 
+#include "jujubespan/mesh/discovery_sharing.hpp"
 #include "jujubespan/mesh/egress.hpp"
 #include "jujubespan/mesh/guard.hpp"
 #include "jujubespan/peer/inbound_calls.hpp"
@@ -11,6 +12,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <span>
 #include <string>
 
 namespace jujubespan::peer
@@ -36,6 +38,22 @@
     /// `bind`.
     void set_receivers(mesh::egress& egress, mesh::guard& guard);
 
+    /// @brief Sets the receiver of discovery updates; null: none.
+    void set_update_handler(mesh::discovery_update_handler* handler)
+    {
+        update_handler_ = handler;
+    }
+
+    /// @brief Sets the discovery revision that all messages carry.
+    void set_discovery_revision(std::uint64_t revision)
+    {
+        messenger_.set_discovery_revision(revision);
+    }
+
+    /// @brief Sends a discovery update to other nodes. It may be lost.
+    void send_update(std::span<const std::string> peers,
+                     const mesh::discovery_update& update, time_point now);
+
     absl::Status bind();
 
     /// @brief Replaces the list of instances that can be called.
@@ -79,7 +97,9 @@
     mesh::egress* egress_{nullptr};
     mesh::guard* guard_{nullptr};
     inbound_calls inbound_;
-    string_map<time_point> last_listed_; // by address
+    mesh::discovery_update_handler* update_handler_{nullptr};
+    std::uint64_t highest_discovery_revision_{0}; ///< Of received messages.
+    string_map<time_point> last_listed_;          // by address
     QObject context_object_; // Its destruction discards queued invocations.
 };
 
--- a/include/jujubespan/policy/versioned_map.hpp
+++ b/include/jujubespan/policy/versioned_map.hpp
@@ -30,6 +30,8 @@
     std::uint64_t revision{0};
     std::string value;
     bool removed{false};
+    /// Revision at which the key was created; zero when not known.
+    std::uint64_t created_revision{0};
 
     bool operator==(const versioned_entry&) const = default;
 };
--- /dev/null
+++ b/src/jujubespan/mesh/discovery_sharing_test.cpp
@@ -0,0 +1,447 @@
+// Which nodes of a fleet read the discovery source, and how soon each of them
+// knows a change, when readers stop, are cut off or hold an older list.
+
+#include "jujubespan/mesh/discovery_sharing.hpp"
+
+#include <fmt/format.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+
+namespace jujubespan::mesh
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration tick = 50ms;
+constexpr duration batch_delay = 600ms; // between two reads of a node
+constexpr duration watch_wait = 2000ms; // longest wait of a read for a change
+
+std::string backend_address(int number)
+{
+    return fmt::format("10.0.0.{}:80", number);
+}
+
+instance make_instance(int number, const std::string& domain)
+{
+    instance item;
+    item.id = fmt::format("i-{}", number);
+    item.service = "s";
+    item.failure_domain = domain;
+    item.call_address = fmt::format("10.0.0.{}:7620", number);
+    item.backend_address = backend_address(number);
+    return item;
+}
+
+// Nodes that read a source with one revision counter and forward updates. Calls
+// and messages take no time.
+class simulated_fleet
+{
+public:
+    struct node
+    {
+        instance self;
+        std::unique_ptr<discovery_sharing> sharing;
+        std::uint64_t revision{0};
+        time_point next_read{};
+        time_point read_since{}; // start of the read in progress
+        bool alive{true};
+        bool source_reachable{true};
+        bool peers_reachable{true};
+        int calls{0};
+    };
+
+    simulated_fleet(int nodes, int domains)
+    {
+        for (int i = 0; i < nodes; ++i)
+        {
+            const auto self =
+                make_instance(i, fmt::format("domain-{}", i % domains));
+            list.put(self);
+            nodes_.push_back(
+                {self, std::make_unique<discovery_sharing>(
+                           self.failure_domain, self.backend_address)});
+        }
+        for (auto& n : nodes_)
+        {
+            n.sharing->apply(list);
+        }
+    }
+
+    void run_for(duration length)
+    {
+        for (const auto end = now + length; now < end; now += tick)
+        {
+            for (auto& n : nodes_)
+            {
+                if (n.alive)
+                {
+                    step(n);
+                }
+            }
+            exchange_calls();
+        }
+    }
+
+    node& primary_of(const std::string& domain)
+    {
+        return *std::find_if(nodes_.begin(), nodes_.end(),
+                             [&](const node& n)
+                             {
+                                 return n.self.failure_domain == domain &&
+                                        n.sharing->role() ==
+                                            reader_role::primary;
+                             });
+    }
+
+    [[nodiscard]] int total_calls() const
+    {
+        int sum = 0;
+        for (const auto& n : nodes_)
+        {
+            sum += n.calls;
+        }
+        return sum;
+    }
+
+    // Number of living nodes that reach the source and miss a change.
+    [[nodiscard]] int outdated() const
+    {
+        return static_cast<int>(std::count_if(nodes_.begin(), nodes_.end(),
+                                              [this](const node& n) {
+                                                  return n.alive &&
+                                                         n.source_reachable &&
+                                                         n.revision <
+                                                             source_revision;
+                                              }));
+    }
+
+    instance_directory list;
+    std::vector<node> nodes_;
+    std::uint64_t source_revision{1};
+    time_point now{1000s};
+    bool calls_between_nodes{true};
+
+private:
+    void step(node& n)
+    {
+        if (n.sharing->should_read(n.revision, now) && now >= n.next_read)
+        {
+            read(n);
+        }
+        if (n.sharing->heartbeat_due(now))
+        {
+            send(n, n.sharing->make_heartbeat(now));
+        }
+    }
+
+    void read(node& n)
+    {
+        if (!n.source_reachable)
+        {
+            n.sharing->on_interrupted();
+            n.next_read = now + batch_delay;
+            return;
+        }
+        const bool changed = source_revision > n.revision;
+        n.read_since = n.read_since == time_point{} ? now : n.read_since;
+        if (!changed && now - n.read_since < watch_wait)
+        {
+            return; // The source holds the read until there is a change.
+        }
+        n.read_since = {};
+        n.next_read = changed ? now + batch_delay : now;
+        ++n.calls;
+        const versioned_delta changes{n.revision, source_revision, false, {}};
+        n.revision = source_revision;
+        n.sharing->on_own_read(n.revision, now);
+        if (n.sharing->should_read(n.revision, now) &&
+            n.sharing->should_forward(now))
+        {
+            send(n, n.sharing->make_update(changes, now));
+        }
+    }
+
+    void send(const node& from, const discovery_update& update)
+    {
+        for (auto& to : nodes_)
+        {
+            const auto peers = from.sharing->subscribers();
+            if (!to.alive || !from.peers_reachable || !to.peers_reachable ||
+                std::find(peers.begin(), peers.end(), to.self.call_address) ==
+                    peers.end())
+            {
+                continue;
+            }
+            if (update.changes.after > to.revision)
+            {
+                to.sharing->on_gap();
+                continue;
+            }
+            to.revision = std::max(to.revision, update.changes.revision);
+            to.sharing->on_update(to.revision, update.age, now);
+        }
+    }
+
+    // Every node calls nodes of all domains: each learns the highest revision.
+    void exchange_calls()
+    {
+        std::uint64_t highest = 0;
+        for (const auto& n : nodes_)
+        {
+            highest = n.alive && n.peers_reachable
+                          ? std::max(highest, n.revision)
+                          : highest;
+        }
+        for (auto& n : nodes_)
+        {
+            if (calls_between_nodes && n.alive && n.peers_reachable)
+            {
+                n.sharing->on_revision_seen(highest);
+            }
+        }
+    }
+};
+
+TEST(discovery_sharing, calm_fleet_reads_once_for_each_failure_domain)
+{
+    simulated_fleet fleet(195, 5);
+    fleet.run_for(5s);
+    const int before = fleet.total_calls();
+    EXPECT_LE(before, 195 * 2) << "calls of the start";
+    fleet.run_for(60s);
+    EXPECT_LE(fleet.total_calls() - before, 5 * 60 / 2)
+        << "one read of two seconds after the other in each domain";
+}
+
+// A rolling replacement of backend servers changes the source all the time.
+TEST(discovery_sharing, calls_in_a_series_of_changes_do_not_grow_with_the_fleet)
+{
+    std::map<int, int> calls;
+    for (const int nodes : {30, 300})
+    {
+        simulated_fleet fleet(nodes, 3);
+        fleet.run_for(5s);
+        const int before = fleet.total_calls();
+        for (int i = 0; i < 100; ++i)
+        {
+            ++fleet.source_revision;
+            fleet.run_for(200ms);
+        }
+        fleet.run_for(2s);
+        EXPECT_EQ(fleet.outdated(), 0);
+        calls[nodes] = fleet.total_calls() - before;
+    }
+    EXPECT_EQ(calls[30], calls[300]);
+}
+
+class changed_fleet : public ::testing::Test
+{
+protected:
+    // Publishes a change and expects all nodes to know it within two seconds.
+    void expect_change_in_time()
+    {
+        ++fleet.source_revision;
+        fleet.run_for(2s);
+        EXPECT_EQ(fleet.outdated(), 0);
+    }
+
+    simulated_fleet fleet{60, 3};
+};
+
+TEST_F(changed_fleet, knows_a_change)
+{
+    fleet.run_for(5s);
+    expect_change_in_time();
+}
+
+TEST_F(changed_fleet, knows_a_change_after_all_readers_are_killed)
+{
+    fleet.run_for(5s);
+    for (const auto* domain : {"domain-0", "domain-1", "domain-2"})
+    {
+        fleet.primary_of(domain).alive = false;
+    }
+    expect_change_in_time();
+}
+
+// The killed readers and their standbys stay listed for a while.
+TEST_F(changed_fleet, knows_a_change_after_half_of_the_fleet_is_killed)
+{
+    fleet.run_for(5s);
+    for (auto& n : fleet.nodes_)
+    {
+        n.alive = n.alive && n.sharing->role() == reader_role::subscriber &&
+                  &n - fleet.nodes_.data() < 40;
+    }
+    expect_change_in_time();
+}
+
+TEST_F(changed_fleet, knows_a_change_while_a_reader_is_cut_off_from_the_source)
+{
+    fleet.run_for(5s);
+    fleet.primary_of("domain-1").source_reachable = false;
+    expect_change_in_time();
+    fleet.run_for(2s);
+    expect_change_in_time();
+}
+
+TEST_F(changed_fleet, knows_a_change_without_calls_between_nodes)
+{
+    fleet.calls_between_nodes = false;
+    fleet.run_for(5s);
+    fleet.primary_of("domain-2").alive = false;
+    expect_change_in_time();
+}
+
+TEST_F(changed_fleet, node_cut_off_from_its_peers_reads_for_itself)
+{
+    fleet.run_for(5s);
+    for (auto& n : fleet.nodes_)
+    {
+        n.peers_reachable = n.self.failure_domain != "domain-0";
+    }
+    expect_change_in_time();
+}
+
+TEST_F(changed_fleet, node_that_no_other_lists_reads_for_itself)
+{
+    const auto own = make_instance(100, "domain-0");
+    fleet.nodes_.push_back({own, std::make_unique<discovery_sharing>(
+                                     own.failure_domain, own.backend_address)});
+    fleet.nodes_.back().sharing->apply(fleet.list);
+    fleet.run_for(5s);
+    expect_change_in_time();
+}
+
+class single_node : public ::testing::Test
+{
+protected:
+    single_node()
+    {
+        for (int i = 0; i < 8; ++i)
+        {
+            list.put(make_instance(i, "d"));
+        }
+        for (int i = 0; i < 8; ++i)
+        {
+            auto candidate =
+                std::make_unique<discovery_sharing>("d", backend_address(i));
+            candidate->apply(list);
+            by_role[candidate->role()] = std::move(candidate);
+        }
+    }
+
+    discovery_sharing& primary() { return *by_role[reader_role::primary]; }
+    discovery_sharing& subscriber()
+    {
+        return *by_role[reader_role::subscriber];
+    }
+
+    instance_directory list;
+    std::map<reader_role, std::unique_ptr<discovery_sharing>> by_role;
+    time_point now{1000s};
+};
+
+TEST_F(single_node, has_each_role_in_a_failure_domain)
+{
+    EXPECT_EQ(by_role.size(), 3U);
+    EXPECT_EQ(primary().subscribers().size(), 7U);
+}
+
+TEST_F(single_node, reads_the_first_state_itself)
+{
+    EXPECT_TRUE(subscriber().should_read(0, now));
+    subscriber().on_gap();
+    EXPECT_TRUE(subscriber().should_read(0, now));
+    subscriber().on_own_read(5, now);
+    subscriber().on_update(5, 0ms, now);
+    EXPECT_FALSE(subscriber().should_read(5, now));
+}
+
+TEST_F(single_node, reads_after_a_gap_until_its_read_is_complete)
+{
+    subscriber().on_own_read(5, now);
+    subscriber().on_update(5, 0ms, now);
+    subscriber().on_gap();
+    EXPECT_TRUE(subscriber().should_read(5, now));
+    subscriber().on_own_read(9, now);
+    EXPECT_FALSE(subscriber().should_read(9, now));
+}
+
+// A reader that was paused, or whose connection to the source is dead, still
+// has subscribers that it must not reassure.
+TEST_F(single_node, reader_without_contact_sends_no_heartbeat)
+{
+    primary().on_own_read(5, now);
+    EXPECT_TRUE(primary().should_read(5, now));
+    EXPECT_TRUE(primary().heartbeat_due(now));
+    EXPECT_FALSE(primary().heartbeat_due(now + 100ms));
+    EXPECT_TRUE(primary().heartbeat_due(now + 500ms));
+    EXPECT_FALSE(primary().heartbeat_due(now + 10s));
+    primary().on_own_read(6, now + 10s);
+    EXPECT_TRUE(primary().heartbeat_due(now + 10s));
+    primary().on_interrupted();
+    EXPECT_FALSE(primary().heartbeat_due(now + 11s));
+}
+
+TEST_F(single_node, outdated_update_does_not_replace_a_read)
+{
+    subscriber().on_own_read(5, now);
+    subscriber().on_update(5, 10s, now);
+    EXPECT_TRUE(subscriber().should_read(5, now));
+}
+
+TEST_F(single_node, failing_reader_goes_on_until_it_succeeds)
+{
+    subscriber().on_own_read(5, now);
+    subscriber().on_interrupted();
+    subscriber().on_update(6, 0ms, now);
+    EXPECT_TRUE(subscriber().should_read(6, now));
+    subscriber().on_own_read(6, now);
+    EXPECT_FALSE(subscriber().should_read(6, now));
+}
+
+TEST_F(single_node, last_contact_counts_the_age_of_an_update)
+{
+    subscriber().on_own_read(5, now);
+    subscriber().on_update(5, 400ms, now + 2s);
+    EXPECT_EQ(subscriber().last_contact(), now + 1600ms);
+}
+
+// Sent to a whole failure domain, a large configuration would occupy the link
+// of the reader for seconds.
+TEST_F(single_node, large_changes_are_announced_and_not_forwarded)
+{
+    versioned_delta changes{5, 7, false, {}};
+    changes.entries.push_back(
+        {"configuration", 7, std::string(1U << 20U, 'x'), false});
+    const auto update = primary().make_update(changes, now);
+    EXPECT_TRUE(update.changes.entries.empty());
+    EXPECT_EQ(update.changes.after, 7U);
+    EXPECT_EQ(update.changes.revision, 7U);
+}
+
+TEST_F(single_node, leaving_instance_is_not_a_reader)
+{
+    int readers = 0;
+    for (int i = 0; i < 8; ++i)
+    {
+        auto leaving = make_instance(i, "d");
+        leaving.leaving = true;
+        instance_directory changed = list;
+        changed.put(leaving);
+        discovery_sharing node("d", backend_address(i));
+        node.apply(changed);
+        readers += node.role() == reader_role::subscriber ? 0 : 1;
+    }
+    EXPECT_EQ(readers, 0);
+}
+
+} // namespace
+} // namespace jujubespan::mesh
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <span>
+#include <vector>
 
 namespace jujubespan::node
 {
@@ -54,13 +55,19 @@
                            std::string settings_file, mesh_loop& traffic)
     : options_(options), settings_file_(std::move(settings_file)),
       settings_modified_at_(modification_time(settings_file_)),
-      traffic_(traffic), metrics_server_(config::resource_limits{}, *this)
+      traffic_(traffic), sharing_(options.failure_domain,
+                                  config::to_string(options.backend_address)),
+      metrics_server_(config::resource_limits{}, *this)
 {
     QObject::connect(&tick_timer_, &QTimer::timeout, &context_object_,
                      [this] { on_tick(); });
 }
 
-mesh_control::~mesh_control() = default;
+mesh_control::~mesh_control()
+{
+    // The traffic thread outlives this object.
+    traffic_.run_and_wait([this] { traffic_.set_update_handler(nullptr); });
+}
 
 absl::Status mesh_control::start(mesh::discovery& source)
 {
@@ -70,6 +77,7 @@
         return status;
     }
     source_ = &source;
+    traffic_.post_task([this] { traffic_.set_update_handler(this); });
     source.start();
     tick_timer_.start(tick_interval);
     return absl::OkStatus();
@@ -135,7 +143,10 @@
             source_->revision(), text_of(error));
     }
     discovery_interrupted_ = true;
-    directory_.on_interrupted(boot_clock::now());
+    directory_.on_interrupted(
+        contact_before_reading_.value_or(boot_clock::now()));
+    sharing_.on_interrupted();
+    update_reading();
 }
 
 void mesh_control::on_restored()
@@ -146,9 +157,100 @@
             source_->revision());
     }
     discovery_interrupted_ = false;
+    contact_before_reading_.reset();
     directory_.on_restored(boot_clock::now());
 }
 
+void mesh_control::on_read(const versioned_delta& changes)
+{
+    const auto now = boot_clock::now();
+    sharing_.on_own_read(changes.revision, now);
+    update_reading();
+    if (sharing_.should_forward(now))
+    {
+        forward(sharing_.make_update(changes, now));
+    }
+}
+
+void mesh_control::on_update(std::string_view peer,
+                             const mesh::discovery_update& update)
+{
+    QMetaObject::invokeMethod(
+        &context_object_,
+        [this, peer = std::string(peer), update]
+        { apply_update(peer, update); },
+        Qt::QueuedConnection);
+}
+
+void mesh_control::on_revision_seen(std::uint64_t revision)
+{
+    QMetaObject::invokeMethod(
+        &context_object_,
+        [this, revision]
+        {
+            sharing_.on_revision_seen(revision);
+            update_reading();
+        },
+        Qt::QueuedConnection);
+}
+
+void mesh_control::apply_update(const std::string& peer,
+                                const mesh::discovery_update& update)
+{
+    const auto result = source_->apply(update.changes);
+    if (result == delta_result::gap)
+    {
+        log(log_level::debug, "discovery_update_gap",
+            "peer={} after={} revision={}", peer, update.changes.after,
+            source_->revision());
+        sharing_.on_gap();
+    }
+    else
+    {
+        sharing_.on_update(update.changes.revision, update.age,
+                           boot_clock::now());
+    }
+    update_reading();
+}
+
+void mesh_control::forward(const mesh::discovery_update& update)
+{
+    if (sharing_.subscribers().empty())
+    {
+        return;
+    }
+    const auto peers = std::vector<std::string>(sharing_.subscribers().begin(),
+                                                sharing_.subscribers().end());
+    traffic_.post_task([this, peers, update]
+                       { traffic_.send_update(peers, update); });
+}
+
+void mesh_control::update_reading()
+{
+    const auto now = boot_clock::now();
+    const bool reading = sharing_.should_read(source_->revision(), now);
+    if (reading != reading_ || sharing_.role() != reader_role_)
+    {
+        log(log_level::info, "discovery_reader",
+            "role={} reading={} subscribers={} revision={}",
+            to_string(sharing_.role()), reading, sharing_.subscribers().size(),
+            source_->revision());
+    }
+    if (reading && !reading_)
+    {
+        contact_before_reading_ = sharing_.last_contact();
+    }
+    reading_ = reading;
+    reader_role_ = sharing_.role();
+    source_->set_reading(reading);
+    if (announced_revision_ != source_->applied_revision())
+    {
+        announced_revision_ = source_->applied_revision();
+        traffic_.post_task([this, revision = announced_revision_]
+                           { traffic_.set_discovery_revision(revision); });
+    }
+}
+
 void mesh_control::schedule_publish()
 {
     if (publish_scheduled_ || !discovery_complete_)
@@ -163,6 +265,8 @@
         [this]
         {
             publish_scheduled_ = false;
+            sharing_.apply(directory_);
+            update_reading();
             auto list =
                 std::make_shared<const mesh::instance_directory>(directory_);
             traffic_.post_task([this, list]
@@ -173,6 +277,12 @@
 
 void mesh_control::on_tick()
 {
+    update_reading();
+    const auto now = boot_clock::now();
+    if (sharing_.heartbeat_due(now))
+    {
+        forward(sharing_.make_heartbeat(now));
+    }
     if (directory_.expire(boot_clock::now()))
     {
         log(log_level::info, "instances_expired", "left={}", directory_.size());
@@ -240,6 +350,7 @@
     control.instance_count = directory_.size();
     control.configuration_defects = configuration_defects_;
     control.discovery_interrupted = discovery_interrupted_;
+    control.reads_discovery = reading_;
     response.status = status_ok;
     response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
     response.body = to_metrics(traffic, control);
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -139,6 +139,9 @@
     add_gauge(out, "jujubespan_discovery_interrupted",
               "1 while the discovery service cannot be reached.",
               control.discovery_interrupted ? 1 : 0);
+    add_gauge(out, "jujubespan_discovery_reading",
+              "1 while this node reads the discovery service itself.",
+              control.reads_discovery ? 1 : 0);
     add_gauge(out, "jujubespan_ready", "1 while the node takes requests.",
               traffic.ready ? 1 : 0);
     return out.text();
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -43,6 +43,22 @@
         std::max<long long>(remaining.count(), 0));
 }
 
+void encode_changes(const versioned_delta& delta, v1::Delta& out)
+{
+    out.set_after(delta.after);
+    out.set_revision(delta.revision);
+    out.set_full(delta.full);
+    for (const auto& entry : delta.entries)
+    {
+        auto* added = out.add_entries();
+        added->set_key(entry.key);
+        added->set_revision(entry.revision);
+        added->set_value(entry.value);
+        added->set_removed(entry.removed);
+        added->set_created(entry.created_revision);
+    }
+}
+
 } // namespace
 
 void encode(const engine::peer_call& call, time_point now, v1::Call& out)
@@ -276,17 +292,7 @@
 {
     out.set_topic(topic_id == topic::contracts ? v1::TOPIC_CONTRACTS
                                                : v1::TOPIC_INSTANCES);
-    out.set_after(delta.after);
-    out.set_revision(delta.revision);
-    out.set_full(delta.full);
-    for (const auto& entry : delta.entries)
-    {
-        auto* added = out.add_entries();
-        added->set_key(entry.key);
-        added->set_revision(entry.revision);
-        added->set_value(entry.value);
-        added->set_removed(entry.removed);
-    }
+    encode_changes(delta, out);
 }
 
 versioned_delta decode(const v1::Delta& in)
@@ -297,10 +303,28 @@
     delta.full = in.full();
     for (const auto& entry : in.entries())
     {
-        delta.entries.push_back(
-            {entry.key(), entry.revision(), entry.value(), entry.removed()});
+        delta.entries.push_back({entry.key(), entry.revision(), entry.value(),
+                                 entry.removed(), entry.created()});
     }
     return delta;
 }
 
+void encode(const mesh::discovery_update& update, v1::Delta& out)
+{
+    out.set_topic(v1::TOPIC_DISCOVERY);
+    out.set_age_ms(static_cast<std::uint32_t>(milliseconds(update.age)));
+    encode_changes(update.changes, out);
+}
+
+std::optional<mesh::discovery_update> decode_discovery(const v1::Delta& in)
+{
+    if (in.topic() != v1::TOPIC_DISCOVERY || in.full() ||
+        in.after() > in.revision())
+    {
+        return std::nullopt;
+    }
+    return mesh::discovery_update{decode(in),
+                                  std::chrono::milliseconds(in.age_ms())};
+}
+
 } // namespace jujubespan::peer
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -147,6 +147,18 @@
     }
 }
 
+void routed_transport::send_update(std::span<const std::string> peers,
+                                   const mesh::discovery_update& update,
+                                   time_point now)
+{
+    v1::Envelope message;
+    encode(update, *message.mutable_delta());
+    for (const auto& peer : peers)
+    {
+        messenger_.send(peer, message, now);
+    }
+}
+
 void routed_transport::announce_leaving()
 {
     for (const auto& [peer, reply_to] : inbound_.sender_routing_ids())
@@ -165,8 +177,21 @@
                                   const routing_id& reply_to)
 {
     const auto now = boot_clock::now();
+    if (update_handler_ != nullptr &&
+        message.discovery_revision() > highest_discovery_revision_)
+    {
+        highest_discovery_revision_ = message.discovery_revision();
+        update_handler_->on_revision_seen(highest_discovery_revision_);
+    }
     switch (message.body_case())
     {
+    case v1::Envelope::kDelta:
+        if (const auto update = decode_discovery(message.delta());
+            update && update_handler_ != nullptr)
+        {
+            update_handler_->on_update(message.from(), *update);
+        }
+        return;
     case v1::Envelope::kCall:
         on_call(message, reply_to);
         return;
