Survive interrupted ZeroMQ calls and fleets of more than 340 nodes; log every exit

Causes, each with a test that failed first: - A ZeroMQ call that a signal handler interrupts fails with EINTR, and the exception ended the process ("Interrupted system call" after 9 ms of a messenger under a signal timer). The calls are repeated; a send that was interrupted also no longer counts as an unreachable peer. - A connection uses three ZeroMQ sockets; a context allows 1023 by default and aborts the process beyond ("Assertion failed: s (src/ctx.cpp)" with 400 peers). The limit is 16384 now. - A dropped log line that carried dropped=N lost the N. An uncaught exception now logs its reason before the process ends, and an address that is still in use at start is tried again for three seconds.

--- a/include/jujubespan/node/process.hpp
+++ b/include/jujubespan/node/process.hpp
@@ -25,6 +25,14 @@
 /// @return exit code of the process.
 int log_start_failure(const absl::Status& status);
 
+/// @brief Calls a function that binds an address until it succeeds, for a few
+/// seconds. Blocks the calling thread.
+/// @return the last status.
+absl::Status listen_with_retry(const std::function<absl::Status()>& listen);
+
+/// @brief Logs the reason before an uncaught exception ends the process.
+void log_uncaught_exceptions();
+
 /// @brief Delivers signals on the event loop of the thread that calls `start`.
 class signal_listener
 {
--- a/include/jujubespan/peer/zmq_socket.hpp
+++ b/include/jujubespan/peer/zmq_socket.hpp
@@ -10,12 +10,17 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <zmq.hpp>
 
 namespace jujubespan::peer
 {
 
+/// @brief Creates a context that allows connections to all nodes of a large
+/// fleet.
+zmq::context_t make_context();
+
 /// @brief A ZeroMQ socket on the Qt event loop of its thread.
 ///
 /// ZeroMQ's file descriptor is edge-triggered: sending may consume the
@@ -33,6 +38,10 @@
 
     [[nodiscard]] zmq::socket_t& raw() { return socket_; }
 
+    /// @throws zmq::error_t if the address cannot be bound.
+    void bind(const std::string& address);
+    void connect(const std::string& address);
+
     /// @brief Sends one frame without blocking.
     /// @param more further frames of the same message follow.
     /// @return false if the frame was not sent.
--- a/src/jujubespan/metrics/log.cpp
+++ b/src/jujubespan/metrics/log.cpp
@@ -43,11 +43,11 @@
     return table;
 }
 
-void count_dropped_line(std::string_view event)
+void count_dropped_lines(std::string_view event, unsigned count)
 {
     auto& table = global_quota_table();
     const std::lock_guard lock(table.mutex);
-    ++table.quotas[std::string(event)].dropped_count;
+    table.quotas[std::string(event)].dropped_count += count;
 }
 
 // Takes one line from the quota of an event. Returns the number of lines
@@ -76,8 +76,9 @@
 }
 
 // Truncates the line to its maximum size. Does not block: a pipe that poll()
-// reports as writable accepts that size at once.
-void write_line(std::string_view event, std::string line)
+// reports as writable accepts that size at once. Returns false if the line was
+// not written.
+bool write_line(std::string line)
 {
     if (line.size() > max_line_bytes)
     {
@@ -85,13 +86,9 @@
         line += '\n';
     }
     pollfd stdout_poll{STDOUT_FILENO, POLLOUT, 0};
-    const bool written = ::poll(&stdout_poll, 1, 0) == 1 &&
-                         (stdout_poll.revents & POLLOUT) != 0 &&
-                         ::write(STDOUT_FILENO, line.data(), line.size()) > 0;
-    if (!written)
-    {
-        count_dropped_line(event);
-    }
+    return ::poll(&stdout_poll, 1, 0) == 1 &&
+           (stdout_poll.revents & POLLOUT) != 0 &&
+           ::write(STDOUT_FILENO, line.data(), line.size()) > 0;
 }
 
 } // namespace
@@ -129,10 +126,13 @@
         std::chrono::system_clock::now());
     const auto suffix =
         *dropped == 0 ? std::string() : fmt::format(" dropped={}", *dropped);
-    write_line(event,
-               fmt::format("time={:%FT%T}Z level={} event={} {}{}\n", now,
-                           level_names[static_cast<std::size_t>(level)], event,
-                           fields, suffix));
+    const bool written = write_line(fmt::format(
+        "time={:%FT%T}Z level={} event={} {}{}\n", now,
+        level_names[static_cast<std::size_t>(level)], event, fields, suffix));
+    if (!written)
+    {
+        count_dropped_lines(event, *dropped + 1);
+    }
 }
 
 } // namespace jujubespan
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -4,6 +4,7 @@
 #include "jujubespan/config/status_text.hpp"
 #include "jujubespan/metrics/log.hpp"
 #include "jujubespan/node/mesh_report_text.hpp"
+#include "jujubespan/node/process.hpp"
 
 #include <QFileInfo>
 
@@ -71,7 +72,9 @@
 
 absl::Status mesh_control::start(mesh::discovery& source)
 {
-    if (auto status = metrics_server_.listen(options_.metrics_address);
+    if (auto status = listen_with_retry(
+            [this]
+            { return metrics_server_.listen(options_.metrics_address); });
         !status.ok())
     {
         return status;
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "jujubespan/backend/outbound_endpoint.hpp"
 #include "jujubespan/metrics/log.hpp"
+#include "jujubespan/node/process.hpp"
 
 #include <algorithm>
 
@@ -121,17 +122,19 @@
 
 absl::Status mesh_loop::start()
 {
-    if (auto status = peers_.bind(); !status.ok())
+    auto status = listen_with_retry([this] { return peers_.bind(); });
+    if (status.ok())
     {
-        return status;
+        status = listen_with_retry(
+            [this] { return client_server_.listen(options_.client_address); });
     }
-    if (auto status = client_server_.listen(options_.client_address);
-        !status.ok())
+    if (status.ok())
     {
-        return status;
+        status = listen_with_retry(
+            [this]
+            { return readiness_server_.listen(options_.readiness_address); });
     }
-    if (auto status = readiness_server_.listen(options_.readiness_address);
-        !status.ok())
+    if (!status.ok())
     {
         return status;
     }
--- a/src/jujubespan/node/mesh_node.cpp
+++ b/src/jujubespan/node/mesh_node.cpp
@@ -18,12 +18,13 @@
                   const std::string& settings_file,
                   const mesh_platform& platform, int& argc, char** argv)
 {
+    log_uncaught_exceptions();
     http::raise_descriptor_limit();
     std::signal(SIGPIPE, SIG_IGN);
     signal_listener signals{SIGTERM, SIGINT, SIGHUP};
     QCoreApplication app(argc, argv);
     set_log_level(parse_log_level(options.log_level).value_or(log_level::info));
-    zmq::context_t context(1);
+    auto context = peer::make_context();
     const auto incarnation = new_incarnation();
     traffic_thread<mesh_loop> traffic(
         [&]
--- a/src/jujubespan/node/node.cpp
+++ b/src/jujubespan/node/node.cpp
@@ -19,11 +19,12 @@
 
 int run_node(const config::settings& options, int& argc, char** argv)
 {
+    log_uncaught_exceptions();
     http::raise_descriptor_limit();
     signal_listener signals{SIGTERM, SIGINT};
     QCoreApplication app(argc, argv);
     set_log_level(parse_log_level(options.log_level).value_or(log_level::info));
-    zmq::context_t context(1);
+    auto context = peer::make_context();
     const auto incarnation = new_incarnation();
     std::optional<peer::authenticator> keys;
     if (options.keys.encryption_enabled())
--- a/src/jujubespan/peer/authenticator.cpp
+++ b/src/jujubespan/peer/authenticator.cpp
@@ -28,7 +28,7 @@
 authenticator::authenticator(zmq::context_t& context)
     : socket_(context, zmq::socket_type::rep, [this] { receive_requests(); })
 {
-    socket_.raw().bind(zap_endpoint);
+    socket_.bind(zap_endpoint);
     socket_.start_watching();
 }
 
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -85,8 +85,7 @@
 {
     try
     {
-        bound_socket_.raw().bind(
-            fmt::format("tcp://{}", config::to_string(address)));
+        bound_socket_.bind(fmt::format("tcp://{}", config::to_string(address)));
     }
     catch (const zmq::error_t& error)
     {
@@ -146,9 +145,9 @@
     configure_client(raw, keys_, address.public_key, connection_options_);
     zmq_socket_monitor(raw.handle(), created->monitor_name.c_str(),
                        ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED);
-    created->monitor.raw().connect(created->monitor_name);
+    created->monitor.connect(created->monitor_name);
     created->monitor.start_watching();
-    raw.connect(fmt::format("tcp://{}", address.endpoint));
+    created->socket.connect(fmt::format("tcp://{}", address.endpoint));
     created->socket.start_watching();
     auto& result = *created;
     connections_[std::string(peer)] = std::move(created);
--- a/src/jujubespan/peer/messenger_test.cpp
+++ b/src/jujubespan/peer/messenger_test.cpp
@@ -12,7 +12,10 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <csignal>
 #include <functional>
+#include <sys/resource.h>
+#include <sys/time.h>
 
 namespace jujubespan::peer
 {
@@ -117,6 +120,61 @@
     EXPECT_EQ(a.handler.unsent, (std::vector<std::string>{"gone"}));
 }
 
+// Each connection uses three ZeroMQ sockets. The default limit of a context,
+// 1023 sockets, ended the process in a fleet of this size.
+TEST(messenger_limits, connects_to_every_node_of_a_large_fleet)
+{
+    app();
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+    auto context = make_context();
+    recorder handler;
+    messenger target(context, "a", 1, {}, handler);
+    std::vector<peer_address> peers;
+    for (int i = 0; i < 400; ++i)
+    {
+        peers.push_back({"node-" + std::to_string(i), "127.0.0.1:9", ""});
+    }
+    target.set_peers(peers);
+    for (const auto& peer : peers)
+    {
+        auto message = make_call(1);
+        EXPECT_TRUE(target.send(peer.id, message, boot_clock::now()));
+    }
+    EXPECT_EQ(target.connection_count(), peers.size());
+}
+
+// A signal handler that runs during a ZeroMQ call makes the call fail with
+// EINTR; the message must still arrive, and the process must not end.
+TEST_F(messengers, continue_when_signals_interrupt_them)
+{
+    struct sigaction action
+    {
+    };
+    action.sa_handler = [](int /*signal*/) {};
+    sigaction(SIGALRM, &action, nullptr);
+    const itimerval interval{{0, 50}, {0, 50}};
+    setitimer(ITIMER_REAL, &interval, nullptr);
+    constexpr std::size_t message_count = 20'000;
+    std::size_t sent = 0;
+    const bool arrived = wait_for(
+        [&]
+        {
+            for (int i = 0; i < 50 && sent < message_count; ++i)
+            {
+                auto message = make_call(sent + 1);
+                sent += a.target.send("b", message, boot_clock::now()) ? 1 : 0;
+            }
+            return b.handler.messages.size() == message_count;
+        },
+        30'000);
+    const itimerval stop{};
+    setitimer(ITIMER_REAL, &stop, nullptr);
+    EXPECT_TRUE(arrived) << b.handler.messages.size() << " of " << sent;
+}
+
 TEST_F(messengers, drops_invalid_and_misaddressed_messages)
 {
     zmq::socket_t client(context, zmq::socket_type::dealer);
--- a/src/jujubespan/peer/zmq_socket.cpp
+++ b/src/jujubespan/peer/zmq_socket.cpp
@@ -1,5 +1,7 @@
 #include "jujubespan/peer/zmq_socket.hpp"
 
+#include <cerrno>
+
 namespace jujubespan::peer
 {
 
@@ -11,6 +13,30 @@
 constexpr int handshake_timeout_ms = 2000;
 constexpr int reconnect_interval_ms = 50;
 constexpr int max_reconnect_interval_ms = 1000;
+// Each connection to a node uses three sockets: its own and both ends of its
+// monitor.
+constexpr int max_sockets = 16384;
+
+// Repeats a ZeroMQ call that a signal handler has interrupted. Nothing was sent
+// or received in that case.
+template <typename Call>
+auto retry_if_interrupted(Call&& call)
+{
+    while (true)
+    {
+        try
+        {
+            return call();
+        }
+        catch (const zmq::error_t& error)
+        {
+            if (error.num() != EINTR)
+            {
+                throw;
+            }
+        }
+    }
+}
 
 void set_limits(zmq::socket_t& socket, const connection_options& options)
 {
@@ -44,6 +70,13 @@
 
 } // namespace
 
+zmq::context_t make_context()
+{
+    zmq::context_t context(1);
+    context.set(zmq::ctxopt::max_sockets, max_sockets);
+    return context;
+}
+
 zmq_socket::zmq_socket(zmq::context_t& context, zmq::socket_type type,
                        std::function<void()> on_readable)
     : socket_(context, type), on_readable_(std::move(on_readable))
@@ -51,6 +84,16 @@
     socket_.set(zmq::sockopt::linger, 0);
 }
 
+void zmq_socket::bind(const std::string& address)
+{
+    retry_if_interrupted([&] { socket_.bind(address); });
+}
+
+void zmq_socket::connect(const std::string& address)
+{
+    retry_if_interrupted([&] { socket_.connect(address); });
+}
+
 void zmq_socket::start_watching()
 {
     const auto descriptor = socket_.get(zmq::sockopt::fd);
@@ -84,7 +127,9 @@
         [this]
         {
             check_scheduled_ = false;
-            if ((socket_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0)
+            const int events = retry_if_interrupted(
+                [this] { return socket_.get(zmq::sockopt::events); });
+            if ((events & ZMQ_POLLIN) != 0)
             {
                 on_readable_();
             }
@@ -102,7 +147,8 @@
     bool sent = false;
     try
     {
-        sent = socket_.send(message, flags).has_value();
+        sent = retry_if_interrupted(
+            [&] { return socket_.send(message, flags).has_value(); });
     }
     catch (const zmq::error_t&)
     {
@@ -114,7 +160,8 @@
 
 zmq::recv_result_t zmq_socket::receive(zmq::message_t& message)
 {
-    return socket_.recv(message, zmq::recv_flags::dontwait);
+    return retry_if_interrupted(
+        [&] { return socket_.recv(message, zmq::recv_flags::dontwait); });
 }
 
 void configure_server(zmq::socket_t& socket, const config::peer_keys& keys,
