Bound the bodies that a guard holds; deliver rejections to clients that are still sending

Uploads made two limits of a node matter. A guard queued up to 512 calls whatever their size (180 MB at 360 KB each, on nodes with 160 MB): bodies of all its calls are now bounded by max_buffered_bytes, beyond which a call is refused as not run and may go elsewhere. A request that is rejected before its body has arrived closed the connection with unread data, which resets it and loses the rejection: the rest is now received and dropped for up to two seconds. The guard hands the body to the backend connection without a copy.

Tests: both failed before. Further ones state what happens to bodies that are cut short, too long, chunked, damaged or paused, and to those of clients that leave. New gauges: jujubespan_client_buffered_bytes, jujubespan_guard_body_bytes.

--- a/include/jujubespan/http/server.hpp
+++ b/include/jujubespan/http/server.hpp
@@ -65,6 +65,8 @@
     /// exchange.
     void begin_drain();
 
+    /// @brief Bytes of all unanswered requests.
+    [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
     [[nodiscard]] std::size_t connection_count() const
     {
         return connections_.size();
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -26,6 +26,8 @@
     bool protection{true}; ///< False: calls start without a concurrency limit.
     duration queue_wait{std::chrono::milliseconds(100)};
     std::size_t max_queue{512};
+    /// Limit of the request bodies of all calls in progress.
+    std::size_t max_body_bytes{64U << 20U};
     retry_budget_options retry_budget;
     /// True when the whole fleet starts now; see guard_retry_budget.
     bool fleet_starting{false};
@@ -73,6 +75,8 @@
     void stop_admitting() { stopped_admitting_ = true; }
 
     [[nodiscard]] std::size_t in_flight() const { return calls_.size(); }
+    /// @brief Size of the request bodies of all calls in progress.
+    [[nodiscard]] std::size_t body_bytes() const { return body_bytes_; }
     [[nodiscard]] upstream_load load(time_point now) const;
 
 private:
@@ -82,6 +86,7 @@
         time_point received_at{};
         time_point started_at{};
         bool running{false};
+        std::size_t body_bytes{0};
     };
 
     using call_map = absl::flat_hash_map<std::uint64_t, pending_call>;
@@ -97,6 +102,7 @@
     classify_response(http_response response) const;
     void finish_call(call_map::iterator found, routed_reply reply,
                      time_point now);
+    pending_call remove_call(call_map::iterator found);
     void release_slot(const pending_call& call, bool completed, time_point now);
     void send_reply(std::uint64_t exchange, routed_reply reply, time_point now);
 
@@ -112,6 +118,7 @@
     bool leaving_{false};
     bool stopped_admitting_{false};
     call_map calls_; // by exchange id
+    std::size_t body_bytes_{0};
     absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
 };
 
--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -30,6 +30,8 @@
     std::size_t client_connections{0};
     std::uint64_t backend_connect_attempts{0};
     upstream_load guard_load;
+    std::size_t client_buffered_bytes{0};
+    std::size_t guard_body_bytes{0};
     std::uint64_t configuration_version{0};
     bool ready{false};
 };
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -5,6 +5,7 @@
 #include <QHostAddress>
 #include <QTcpSocket>
 
+#include <sys/socket.h>
 #include <vector>
 
 namespace jujubespan::http
@@ -15,6 +16,8 @@
 
 constexpr int listen_backlog = 1024;
 constexpr auto expiry_check_interval = std::chrono::milliseconds(100);
+// Time for a client to stop sending a request that was rejected.
+constexpr duration max_discard_time = std::chrono::seconds(2);
 constexpr unsigned bad_request = 400;
 constexpr unsigned request_timeout = 408;
 constexpr unsigned payload_too_large = 413;
@@ -72,6 +75,11 @@
 
     void on_readable()
     {
+        if (discarding_)
+        {
+            socket_->readAll();
+            return;
+        }
         if (exchange_ != 0 || closing_)
         {
             return; // A pipelined request stays in the socket's buffer.
@@ -122,6 +130,10 @@
         }
         const auto& limits = owner_.limits_;
         const duration idle_time = now - last_activity_;
+        if (discarding_ && now - discarding_since_ > max_discard_time)
+        {
+            return true;
+        }
         if (closing_)
         {
             return idle_time > limits.receive_timeout;
@@ -146,7 +158,13 @@
     void reject(unsigned status, std::string_view reason)
     {
         socket_->write(serialize(make_rejection(status, reason), false, false));
-        close_after_write();
+        socket_->flush();
+        if (socket_->bytesToWrite() > 0)
+        {
+            close_after_write();
+            return;
+        }
+        discard_input();
     }
 
 private:
@@ -212,6 +230,20 @@
         own_buffered_bytes_ = 0;
     }
 
+    // Closing a connection with unread data resets it, and the client loses the
+    // response. The rest of the request is therefore received and dropped until
+    // the client closes.
+    void discard_input()
+    {
+        release_buffered_bytes();
+        receive_buffer_.clear();
+        closing_ = true;
+        discarding_ = true;
+        discarding_since_ = boot_clock::now();
+        ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
+        socket_->readAll();
+    }
+
     void close_after_write()
     {
         release_buffered_bytes();
@@ -232,6 +264,8 @@
     bool keep_alive_{true};
     bool head_request_{false};
     bool closing_{false};
+    bool discarding_{false}; // The response is sent; input is dropped.
+    time_point discarding_since_{};
     bool continue_sent_{false};
     time_point last_activity_;
     time_point request_started_at_{};
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -12,9 +12,13 @@
 #include <QTcpSocket>
 #include <QTimer>
 
+#include <arpa/inet.h>
 #include <array>
 #include <functional>
 #include <map>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace jujubespan::http
@@ -158,6 +162,96 @@
     EXPECT_TRUE(wait_for([&] { return handler.requests.size() == 2; }));
 }
 
+// A server that closes a connection with unread data resets it, and the client
+// may lose the rejection.
+TEST_F(http_server, client_that_is_still_sending_receives_the_rejection)
+{
+    for (const QByteArray& header :
+         {QByteArray("Content-Length: 8000000\r\n"),
+          QByteArray("Transfer-Encoding: chunked\r\n")})
+    {
+        QByteArray body(8'000'000, 'x');
+        if (header.contains("chunked"))
+        {
+            body.prepend("7a1200\r\n").append("\r\n0\r\n\r\n");
+        }
+        auto socket = connect("POST / HTTP/1.1\r\n" + header + "\r\n" + body);
+        const auto response = read_until_closed(*socket);
+        EXPECT_TRUE(response.startsWith("HTTP/1.1 413"))
+            << header.toStdString() << response.toStdString();
+        EXPECT_EQ(socket->error(), QAbstractSocket::RemoteHostClosedError);
+    }
+    EXPECT_TRUE(handler.requests.empty());
+    EXPECT_EQ(target->buffered_bytes(), 0U);
+}
+
+// A raw socket, since QTcpSocket closes itself once the server has.
+TEST_F(http_server, connection_of_a_client_that_goes_on_sending_is_closed)
+{
+    const int client = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(address.port);
+    ASSERT_EQ(::inet_pton(AF_INET, address.host.c_str(), &to.sin_addr), 1);
+    ASSERT_EQ(
+        ::connect(client, reinterpret_cast<const sockaddr*>(&to), sizeof to),
+        0);
+    const QByteArray header =
+        "POST / HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n";
+    ::send(client, header.data(), static_cast<std::size_t>(header.size()), 0);
+    QTimer sender;
+    QObject::connect(&sender, &QTimer::timeout,
+                     [client]
+                     { ::send(client, "x", 1, MSG_NOSIGNAL | MSG_DONTWAIT); });
+    sender.start(20);
+    EXPECT_TRUE(wait_for([&] { return target->connection_count() == 1; }));
+    EXPECT_TRUE(
+        wait_for([&] { return target->connection_count() == 0; }, 4000));
+    ::close(client);
+}
+
+// Requests of a client whose body ends early, pauses or is damaged.
+TEST_F(http_server, incomplete_body_is_never_passed_on)
+{
+    const std::array<QByteArray, 4> requests{
+        "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nshort",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc"};
+    for (const auto& request : requests)
+    {
+        auto closing = connect(request);
+        ASSERT_TRUE(wait_for([&] { return closing->bytesToWrite() == 0; }));
+        closing->close();
+        auto pausing = connect(request);
+        const auto response = read_until_closed(*pausing);
+        EXPECT_TRUE(response.startsWith("HTTP/1.1 4")) << request.toStdString();
+    }
+    EXPECT_TRUE(handler.requests.empty());
+    EXPECT_EQ(target->buffered_bytes(), 0U);
+}
+
+TEST_F(http_server, bytes_beyond_the_body_belong_to_the_next_request)
+{
+    auto socket = connect(
+        "POST /1 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGARBAGE\r\n\r\n");
+    ASSERT_TRUE(wait_for([&] { return handler.requests.size() == 1; }));
+    EXPECT_EQ(handler.requests.begin()->second.body, "abc");
+    target->respond(handler.requests.begin()->first, {200, {}, "ok"});
+    const auto responses = read_until_closed(*socket);
+    EXPECT_TRUE(responses.contains("HTTP/1.1 400")) << responses.toStdString();
+    EXPECT_EQ(handler.requests.size(), 1U);
+}
+
+TEST_F(http_server, body_of_a_client_that_leaves_is_released)
+{
+    auto socket = connect("POST / HTTP/1.1\r\nContent-Length: 3000\r\n\r\n" +
+                          QByteArray(2000, 'x'));
+    ASSERT_TRUE(wait_for([&] { return target->buffered_bytes() > 2000; }));
+    socket->abort();
+    EXPECT_TRUE(wait_for([&] { return target->buffered_bytes() == 0; }));
+}
+
 TEST_F(http_server, receives_a_body_in_parts_after_100_continue)
 {
     auto socket = connect("POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -144,8 +144,14 @@
         cause = reason::retry_budget;
         ++shared_.metrics.retries_denied;
     }
-    const auto added =
-        calls_.emplace(exchange, pending_call{std::move(call), now, {}, false});
+    const auto body_bytes = call.request.body.size();
+    if (!cause && body_bytes_ + body_bytes > options_.max_body_bytes)
+    {
+        cause = reason::in_flight_bound;
+    }
+    body_bytes_ += body_bytes;
+    const auto added = calls_.emplace(
+        exchange, pending_call{std::move(call), now, {}, false, body_bytes});
     auto& entry = added.first->second;
     deadlines_.insert({entry.message.deadline, exchange});
     if (cause)
@@ -191,7 +197,8 @@
                          message.deadline,
                          {},
                          message.retry != retry_cause::none});
-    auto request = message.request;
+    // The caller's node keeps the request for another attempt.
+    auto request = std::move(call.message.request);
     request.idempotent = message.idempotent;
     const auto& names = options_.names;
     std::erase_if(
@@ -316,6 +323,15 @@
     run_queued_calls(now);
 }
 
+guard::pending_call guard::remove_call(call_map::iterator found)
+{
+    pending_call call = std::move(found->second);
+    deadlines_.erase({call.message.deadline, found->first});
+    calls_.erase(found);
+    body_bytes_ -= call.body_bytes;
+    return call;
+}
+
 void guard::release_slot(const pending_call& call, bool completed,
                          time_point now)
 {
@@ -331,9 +347,7 @@
                         time_point now)
 {
     const std::uint64_t id = found->first;
-    const pending_call call = std::move(found->second);
-    calls_.erase(found);
-    deadlines_.erase({call.message.deadline, id});
+    const pending_call call = remove_call(found);
     const bool answered = reply.answer.result == outcome::answered;
     release_slot(call, answered, now);
     if (call.running)
@@ -375,9 +389,7 @@
     {
         return;
     }
-    const pending_call call = std::move(found->second);
-    calls_.erase(found);
-    deadlines_.erase({call.message.deadline, exchange});
+    const pending_call call = remove_call(found);
     if (call.running)
     {
         backend_.cancel(exchange);
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -60,6 +60,7 @@
         value.backend_address = "10.0.0.1:8080";
         value.retry_budget = {0.2, 10, 10s};
         value.fleet_starting = true;
+        value.max_body_bytes = 2500;
         return value;
     }
 
@@ -93,6 +94,7 @@
         message.client_request = client_request;
         message.request.method = "GET";
         message.request.target = "/r/1";
+        message.request.body = body;
         message.request.headers = {{names.caller_service, "forged"}};
         target.on_call(exchange, std::move(message), now);
     }
@@ -111,6 +113,7 @@
     }
 
     time_point now{start};
+    std::string body; // of the requests of further calls
     header_names names;
     mesh_state shared;
     recording_backend backend;
@@ -244,6 +247,25 @@
     EXPECT_FALSE(replies.replies.contains(1));
 }
 
+// A queue of hundreds of uploads would not fit into the memory of the node.
+TEST_F(guard_test, bodies_beyond_the_limit_are_refused_as_not_run)
+{
+    body = std::string(1000, 'x');
+    call(1);
+    call(2);
+    call(3);
+    EXPECT_EQ(reply(3).result, outcome::not_run);
+    EXPECT_EQ(reply(3).reason, reason::in_flight_bound);
+    EXPECT_TRUE(reply(3).elsewhere_may_help);
+    EXPECT_FALSE(backend.requests.contains(3));
+    EXPECT_EQ(backend.requests.at(1).body, body);
+    target.on_cancelled(1, now);
+    answer(2, 200, {{names.signature, "x"}});
+    EXPECT_EQ(target.body_bytes(), 0U);
+    call(4);
+    EXPECT_TRUE(backend.requests.contains(4));
+}
+
 TEST_F(guard_test, replies_say_that_the_node_is_stopping)
 {
     target.begin_drain();
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -90,6 +90,7 @@
     result.names = names;
     result.protection = options.protection;
     result.queue_wait = options.queue_wait;
+    result.max_body_bytes = options.max_buffered_bytes;
     result.retry_budget = to_retry_budget_options(options.retry_budget);
     result.fleet_starting = options.first_start;
     return result;
@@ -260,6 +261,8 @@
     report.client_connections = client_server_.connection_count();
     report.backend_connect_attempts = backend_.connect_attempts();
     report.guard_load = guard_.load(boot_clock::now());
+    report.client_buffered_bytes = client_server_.buffered_bytes();
+    report.guard_body_bytes = guard_.body_bytes();
     report.configuration_version = egress_.configuration_version();
     report.ready = is_ready();
     return report;
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -127,6 +127,12 @@
               traffic.guard_load.in_flight);
     add_gauge(out, "jujubespan_limit", "Concurrency limit of the guard.",
               traffic.guard_load.limit);
+    add_gauge(out, "jujubespan_client_buffered_bytes",
+              "Bytes of unanswered requests of clients.",
+              static_cast<double>(traffic.client_buffered_bytes));
+    add_gauge(out, "jujubespan_guard_body_bytes",
+              "Request bodies of the calls running or queued at the guard.",
+              static_cast<double>(traffic.guard_body_bytes));
     add_gauge(out, "jujubespan_configuration_version", "Version in force.",
               static_cast<double>(traffic.configuration_version));
     add_gauge(out, "jujubespan_configuration_defects",
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -93,11 +93,11 @@
     // from `send_call`.
     QMetaObject::invokeMethod(
         &context_object_,
-        [this, exchange = *exchange, call]
+        [this, exchange = *exchange, call]() mutable
         {
             if (inbound_.is_open(exchange)) // Not cancelled in the meantime.
             {
-                guard_->on_call(exchange, call, boot_clock::now());
+                guard_->on_call(exchange, std::move(call), boot_clock::now());
             }
         },
         Qt::QueuedConnection);
