Send heartbeats between nodes only while a call is unanswered

Cause: every node has a connection to every other one and sent a heartbeat on each every second, and answered as many: at 195 nodes about 800 messages a second sent and received by a node, more than its calls.

Change: idle connections have the kernel's keep-alive probes only. A peer that was silent for a second while a call is unanswered is sent a heartbeat; if it does not answer within another second, its connection is dropped, as before. A peer that has never answered one is exempt: earlier versions do not. Tests in messenger_test against a peer that answers, stops answering, never answered, and one whose connection is idle.

--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -72,6 +72,11 @@
 /// @brief Exchanges messages with other nodes, over one bound socket for
 /// incoming connections and one connected socket for each peer in use.
 ///
+/// Without heartbeats on idle connections, a peer with an unanswered call that
+/// has been silent is sent a heartbeat, which its handler must answer. If it
+/// does not, its connection is lost. Peers that have never answered one, since
+/// their version does not, are exempt.
+///
 /// A message to a peer whose connection is not yet established waits for a
 /// bounded time; it is then either sent or reported as unsent, never both.
 /// After the connection has been down for longer than that time, `send` fails
@@ -107,6 +112,11 @@
     /// @return false if the message was not sent and is not pending.
     bool send(std::string_view peer, v1::Envelope& message, time_point now);
 
+    /// @brief Sends heartbeats to silent peers with unanswered calls, and drops
+    /// the connections of those that do not answer; to be called every few
+    /// hundred milliseconds.
+    void check_connections(time_point now);
+
     /// @brief Sends a message over the incoming connection `reply_to`.
     bool send_reply(const routing_id& reply_to, std::string_view peer,
                     v1::Envelope& message);
@@ -134,7 +144,11 @@
     void receive_from_bound_socket();
     void receive_from_connection(connection& from);
     void receive_connection_events(connection& from);
-    void dispatch(const zmq::message_t& payload, const routing_id& reply_to);
+    /// @param from null for messages to the bound socket.
+    void dispatch(const zmq::message_t& payload, const routing_id& reply_to,
+                  connection* from);
+    bool send_heartbeat(connection& to);
+    void drop_connection(const std::string& peer);
     void send_pending(connection& to);
     void drop_pending(connection& to);
 
--- a/include/jujubespan/peer/routed_transport.hpp
+++ b/include/jujubespan/peer/routed_transport.hpp
@@ -59,8 +59,9 @@
     /// @brief Replaces the list of instances that can be called.
     void set_instances(const mesh::instance_directory& instances);
 
-    /// @brief Fails calls that have waited too long for a connection.
-    void on_tick(time_point now) { messenger_.expire_pending(now); }
+    /// @brief Fails calls that have waited too long for a connection, or whose
+    /// node does not answer heartbeats.
+    void on_tick(time_point now);
 
     /// @brief Notifies every peer that has sent calls to this node that it is
     /// leaving.
@@ -99,6 +100,7 @@
     inbound_calls inbound_;
     mesh::discovery_update_handler* update_handler_{nullptr};
     std::uint64_t highest_discovery_revision_{0}; ///< Of received messages.
+    time_point next_connection_check_{};
     string_map<time_point> last_listed_;          // by address
     QObject context_object_; // Its destruction discards queued invocations.
 };
--- a/include/jujubespan/peer/zmq_socket.hpp
+++ b/include/jujubespan/peer/zmq_socket.hpp
@@ -71,6 +71,10 @@
     duration heartbeat_interval{std::chrono::seconds(20)};
     /// Time without data from the peer after which the connection is closed.
     duration heartbeat_timeout{std::chrono::seconds(40)};
+    /// False: heartbeats are sent only while a call is unanswered. The kernel's
+    /// keep-alive probes then detect the end of an idle connection. The traffic
+    /// of a fleet of n nodes has no n * n heartbeats.
+    bool heartbeat_idle_connections{true};
     std::int64_t max_message_bytes{20 << 20};
 };
 
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <optional>
 #include <vector>
 
 namespace jujubespan::peer
@@ -65,6 +66,12 @@
     bool connected{false};
     time_point down_since; // valid while not connected
     std::deque<pending_message> pending;
+
+    // Heartbeats while calls are unanswered.
+    std::size_t unanswered_calls{0};
+    bool answers_heartbeats{false};
+    time_point silent_since{};
+    std::optional<time_point> heartbeat_sent_at;
 };
 
 messenger::messenger(zmq::context_t& context, std::string own_id,
@@ -116,15 +123,21 @@
     addresses_ = std::move(new_addresses);
     for (const auto& id : removed_or_changed)
     {
-        const auto found = connections_.find(id);
-        if (found != connections_.end())
-        {
-            const auto closed = std::move(found->second);
-            connections_.erase(found);
-            drop_pending(*closed);
-            handler_.on_connection_lost(id);
-        }
+        drop_connection(id);
+    }
+}
+
+void messenger::drop_connection(const std::string& peer)
+{
+    const auto found = connections_.find(peer);
+    if (found == connections_.end())
+    {
+        return;
     }
+    const auto closed = std::move(found->second);
+    connections_.erase(found);
+    drop_pending(*closed);
+    handler_.on_connection_lost(peer);
 }
 
 bool messenger::can_connect(std::string_view peer) const
@@ -197,9 +210,61 @@
     message.SerializeToArray(payload.data(), static_cast<int>(payload.size()));
     counters_.sent_bytes += payload.size();
     ++counters_.sent;
+    if (message.has_call())
+    {
+        to.silent_since =
+            to.unanswered_calls == 0 ? boot_clock::now() : to.silent_since;
+        ++to.unanswered_calls;
+    }
+    else if (message.has_cancel() && to.unanswered_calls > 0)
+    {
+        --to.unanswered_calls;
+    }
     return to.socket.send(std::move(payload));
 }
 
+bool messenger::send_heartbeat(connection& to)
+{
+    v1::Envelope message;
+    message.mutable_heartbeat();
+    set_envelope_header(message, to.id);
+    return send_envelope(to, message);
+}
+
+void messenger::check_connections(time_point now)
+{
+    if (connection_options_.heartbeat_idle_connections)
+    {
+        return;
+    }
+    std::vector<std::string> dead;
+    for (const auto& [id, to] : connections_)
+    {
+        const bool waiting =
+            to->connected && to->unanswered_calls > 0 && to->answers_heartbeats;
+        if (!waiting ||
+            now - to->silent_since <= connection_options_.heartbeat_interval)
+        {
+            to->heartbeat_sent_at.reset();
+            continue;
+        }
+        if (!to->heartbeat_sent_at)
+        {
+            to->heartbeat_sent_at = now;
+            send_heartbeat(*to);
+        }
+        else if (now - *to->heartbeat_sent_at >
+                 connection_options_.heartbeat_timeout)
+        {
+            dead.push_back(id);
+        }
+    }
+    for (const auto& id : dead)
+    {
+        drop_connection(id);
+    }
+}
+
 bool messenger::send_reply(const routing_id& reply_to, std::string_view peer,
                            v1::Envelope& message)
 {
@@ -239,7 +304,7 @@
             ++counters_.malformed;
             continue;
         }
-        dispatch(payload, routing_id(sender_frame.to_string()));
+        dispatch(payload, routing_id(sender_frame.to_string()), nullptr);
     }
 }
 
@@ -258,12 +323,12 @@
         {
             return;
         }
-        dispatch(payload, {});
+        dispatch(payload, {}, found->second.get());
     }
 }
 
 void messenger::dispatch(const zmq::message_t& payload,
-                         const routing_id& reply_to)
+                         const routing_id& reply_to, connection* from)
 {
     ++counters_.received;
     counters_.received_bytes += payload.size();
@@ -284,6 +349,16 @@
         ++counters_.wrong_receiver;
         return;
     }
+    if (from != nullptr)
+    {
+        from->silent_since = boot_clock::now();
+        from->answers_heartbeats =
+            from->answers_heartbeats || message.has_heartbeat();
+        if (message.has_reply() && from->unanswered_calls > 0)
+        {
+            --from->unanswered_calls;
+        }
+    }
     handler_.on_message(message, reply_to);
 }
 
@@ -304,6 +379,11 @@
         if (kind == ZMQ_EVENT_HANDSHAKE_SUCCEEDED)
         {
             from.connected = true;
+            from.unanswered_calls = 0;
+            if (!connection_options_.heartbeat_idle_connections)
+            {
+                send_heartbeat(from); // Finds out whether the peer answers it.
+            }
         }
         else if (kind == ZMQ_EVENT_DISCONNECTED)
         {
--- a/src/jujubespan/peer/messenger_test.cpp
+++ b/src/jujubespan/peer/messenger_test.cpp
@@ -175,6 +175,126 @@
     EXPECT_TRUE(arrived) << b.handler.messages.size() << " of " << sent;
 }
 
+// A messenger without heartbeats on idle connections, and a peer that answers
+// only as far as a test lets it.
+class silent_peer : public ::testing::Test
+{
+protected:
+    silent_peer()
+    {
+        app();
+        peer.set(zmq::sockopt::linger, 0);
+        peer.bind("tcp://127.0.0.1:*");
+        target.set_peers(std::vector<peer_address>{
+            {"b", peer.get(zmq::sockopt::last_endpoint).substr(6), ""}});
+        auto message = make_call(7);
+        target.send("b", message, boot_clock::now());
+    }
+
+    // Receives what has arrived and answers heartbeats. Returns the number of
+    // heartbeats.
+    int receive(bool answer_heartbeats)
+    {
+        int heartbeats = 0;
+        zmq::message_t sender;
+        zmq::message_t payload;
+        while (peer.recv(sender, zmq::recv_flags::dontwait) &&
+               peer.recv(payload))
+        {
+            v1::Envelope message;
+            message.ParseFromArray(payload.data(),
+                                   static_cast<int>(payload.size()));
+            calls += message.has_call() ? 1 : 0;
+            heartbeats += message.has_heartbeat() ? 1 : 0;
+            if (message.has_heartbeat() && answer_heartbeats)
+            {
+                v1::Envelope answer;
+                answer.mutable_heartbeat();
+                send(sender, answer);
+            }
+            last_sender.copy(sender);
+        }
+        return heartbeats;
+    }
+
+    void send(zmq::message_t& to, v1::Envelope& message)
+    {
+        message.set_version(1);
+        message.set_to("a");
+        message.set_from("b");
+        zmq::message_t copy;
+        copy.copy(to);
+        peer.send(copy, zmq::send_flags::sndmore);
+        peer.send(zmq::buffer(message.SerializeAsString()),
+                  zmq::send_flags::none);
+    }
+
+    // Runs the messenger for a time; its peer answers heartbeats or not.
+    int run_for(int milliseconds, bool answer_heartbeats)
+    {
+        int heartbeats = 0;
+        wait_for(
+            [&]
+            {
+                heartbeats += receive(answer_heartbeats);
+                target.check_connections(boot_clock::now());
+                return false;
+            },
+            milliseconds);
+        return heartbeats;
+    }
+
+    zmq::context_t context{1};
+    zmq::socket_t peer{context, zmq::socket_type::router};
+    zmq::message_t last_sender;
+    int calls{0};
+    recorder handler;
+    messenger target{context,
+                     "a",
+                     1,
+                     {},
+                     handler,
+                     {.heartbeat_interval = std::chrono::milliseconds(100),
+                      .heartbeat_timeout = std::chrono::milliseconds(200),
+                      .heartbeat_idle_connections = false}};
+};
+
+TEST_F(silent_peer, that_answers_heartbeats_keeps_its_unanswered_calls)
+{
+    EXPECT_GE(run_for(900, true), 4);
+    EXPECT_EQ(calls, 1);
+    EXPECT_TRUE(handler.lost.empty());
+}
+
+TEST_F(silent_peer, that_stops_answering_is_lost)
+{
+    run_for(300, true);
+    EXPECT_TRUE(handler.lost.empty());
+    run_for(600, false);
+    EXPECT_EQ(handler.lost, std::vector<std::string>{"b"});
+    EXPECT_EQ(target.connection_count(), 0U);
+}
+
+// Each node of a large fleet has a connection to every other one.
+TEST_F(silent_peer, gets_no_heartbeats_while_the_connection_is_idle)
+{
+    run_for(300, true);
+    v1::Envelope reply;
+    reply.mutable_reply()->set_id(7);
+    send(last_sender, reply);
+    run_for(100, true);
+    EXPECT_EQ(run_for(500, false), 0);
+    EXPECT_TRUE(handler.lost.empty());
+}
+
+// Nodes of an earlier version do not answer heartbeats.
+TEST_F(silent_peer, that_never_answered_a_heartbeat_is_not_lost)
+{
+    run_for(900, false);
+    EXPECT_EQ(calls, 1);
+    EXPECT_TRUE(handler.lost.empty());
+}
+
 TEST_F(messengers, drops_invalid_and_misaddressed_messages)
 {
     zmq::socket_t client(context, zmq::socket_type::dealer);
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -12,14 +12,14 @@
 namespace
 {
 
-// The heartbeat timeout detects a dead connection before most clients time out;
-// the interval bounds the heartbeat traffic of a large fleet with thousands of
-// connections. A message holds the largest body that clients may send, and its
-// headers.
+// The heartbeat timeout detects a dead connection before most clients time out.
+// A message holds the largest body that clients may send, and its headers.
 constexpr connection_options options{
     .heartbeat_interval = std::chrono::milliseconds(1000),
     .heartbeat_timeout = std::chrono::milliseconds(1000),
+    .heartbeat_idle_connections = false,
     .max_message_bytes = 66 << 20};
+constexpr duration connection_check_interval = std::chrono::milliseconds(200);
 // How long the connection to a node that is no longer listed stays open to
 // receive outstanding replies.
 constexpr duration unlisted_peer_retention = std::chrono::seconds(30);
@@ -68,6 +68,16 @@
     messenger_.set_peers(peers);
 }
 
+void routed_transport::on_tick(time_point now)
+{
+    messenger_.expire_pending(now);
+    if (now >= next_connection_check_)
+    {
+        next_connection_check_ = now + connection_check_interval;
+        messenger_.check_connections(now);
+    }
+}
+
 bool routed_transport::send_call(std::string_view peer,
                                  const mesh::routed_call& call, time_point now)
 {
@@ -209,7 +219,13 @@
         }
         return;
     case v1::Envelope::kHeartbeat:
-        if (message.heartbeat().leaving())
+        if (!reply_to.empty())
+        {
+            v1::Envelope answer;
+            answer.mutable_heartbeat();
+            messenger_.send_reply(reply_to, message.from(), answer);
+        }
+        else if (message.heartbeat().leaving())
         {
             egress_->on_peer_leaving(message.from(), now);
         }
--- a/src/jujubespan/peer/zmq_socket.cpp
+++ b/src/jujubespan/peer/zmq_socket.cpp
@@ -13,6 +13,12 @@
 constexpr int handshake_timeout_ms = 2000;
 constexpr int reconnect_interval_ms = 50;
 constexpr int max_reconnect_interval_ms = 1000;
+// Keep-alive probes of the kernel. Several may be lost before the connection
+// is closed.
+constexpr int keep_alive_idle_s = 1;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 3;
+constexpr int max_unacknowledged_ms = 3000;
 // Each connection to a node uses three sockets: its own and both ends of its
 // monitor.
 constexpr int max_sockets = 16384;
@@ -43,8 +49,19 @@
     socket.set(zmq::sockopt::sndhwm, high_water_mark_messages);
     socket.set(zmq::sockopt::rcvhwm, high_water_mark_messages);
     socket.set(zmq::sockopt::maxmsgsize, options.max_message_bytes);
-    socket.set(zmq::sockopt::tcp_maxrt,
-               static_cast<int>(milliseconds(options.heartbeat_timeout)));
+    if (options.heartbeat_idle_connections)
+    {
+        socket.set(zmq::sockopt::tcp_maxrt,
+                   static_cast<int>(milliseconds(options.heartbeat_timeout)));
+    }
+    else
+    {
+        socket.set(zmq::sockopt::tcp_maxrt, max_unacknowledged_ms);
+        socket.set(zmq::sockopt::tcp_keepalive, 1);
+        socket.set(zmq::sockopt::tcp_keepalive_idle, keep_alive_idle_s);
+        socket.set(zmq::sockopt::tcp_keepalive_intvl, keep_alive_interval_s);
+        socket.set(zmq::sockopt::tcp_keepalive_cnt, keep_alive_probes);
+    }
     socket.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
     socket.set(zmq::sockopt::handshake_ivl, handshake_timeout_ms);
 }
@@ -181,7 +198,10 @@
                       const connection_options& options)
 {
     set_limits(socket, options);
-    set_heartbeats(socket, options);
+    if (options.heartbeat_idle_connections)
+    {
+        set_heartbeats(socket, options);
+    }
     socket.set(zmq::sockopt::immediate, true);
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_interval_ms);
     socket.set(zmq::sockopt::reconnect_ivl_max, max_reconnect_interval_ms);
