Let updates of a reader end an interruption of a node's own reads

Cause: a node whose reads failed went on reading until one succeeded, although its reader had the store's answers. A store that turns a third of the machines away, or is down for eight seconds, got more than one call a second from every node.

Change: an update of a reader that the store answers ends the interruption, before its changes are applied, so that removals of expired entries are deferred as after a node's own recovery. Subscribers repeat a failed read after 1.6 s at the most, readers after 0.8 s as before.

--- a/include/jujubespan/mesh/discovery.hpp
+++ b/include/jujubespan/mesh/discovery.hpp
@@ -56,6 +56,9 @@
     /// @brief Starts or stops reading. A call in progress is completed.
     virtual void set_reading(bool enabled) = 0;
 
+    /// @brief Sets the longest delay between calls that fail.
+    virtual void set_max_retry_delay(duration delay) = 0;
+
     /// @brief Applies changes that another node has read.
     /// @return `gap` if changes before them are missing.
     virtual delta_result apply(const versioned_delta& changes) = 0;
--- a/include/jujubespan/mesh/discovery_sharing.hpp
+++ b/include/jujubespan/mesh/discovery_sharing.hpp
@@ -74,7 +74,11 @@
     /// @brief A call of this node to the source failed.
     void on_interrupted();
 
-    /// @brief Another node's update was applied.
+    /// @brief Whether an update shows that the source answers its reader.
+    [[nodiscard]] static bool is_recent(duration age);
+
+    /// @brief Another node's update was applied. It also ends an interruption
+    /// of this node's own reads.
     /// @param age of the update.
     void on_update(std::uint64_t revision, duration age, time_point now);
 
--- a/src/jujubespan/mesh/discovery_sharing.cpp
+++ b/src/jujubespan/mesh/discovery_sharing.cpp
@@ -104,13 +104,19 @@
     interrupted_ = true;
 }
 
+bool discovery_sharing::is_recent(duration age)
+{
+    return age <= max_contact_age;
+}
+
 void discovery_sharing::on_update(std::uint64_t revision, duration age,
                                   time_point now)
 {
-    if (age > max_contact_age)
+    if (!is_recent(age))
     {
         return;
     }
+    interrupted_ = false;
     last_update_ = now;
     confirmed_revision_ = std::max(confirmed_revision_, revision);
     record_contact(now - age);
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -20,6 +20,11 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds(100);
 constexpr unsigned ticks_per_file_check = 10;
+// Longest delays between reads that fail. Readers find the end of an outage of
+// the discovery source for their subscribers. All are within three seconds,
+// with the timeout of a read.
+constexpr duration reader_retry_delay = std::chrono::milliseconds(800);
+constexpr duration subscriber_retry_delay = std::chrono::milliseconds(1600);
 // Further defects of a configuration are only counted.
 constexpr std::size_t max_logged_defects = 16;
 constexpr unsigned status_ok = 200;
@@ -200,6 +205,12 @@
 void mesh_control::apply_update(const std::string& peer,
                                 const mesh::discovery_update& update)
 {
+    // Before the changes, among which may be entries that expired while the
+    // source was unavailable.
+    if (mesh::discovery_sharing::is_recent(update.age))
+    {
+        on_restored();
+    }
     const auto result = source_->apply(update.changes);
     if (result == delta_result::gap)
     {
@@ -245,6 +256,9 @@
     }
     reading_ = reading;
     reader_role_ = sharing_.role();
+    source_->set_max_retry_delay(reader_role_ == mesh::reader_role::subscriber
+                                     ? subscriber_retry_delay
+                                     : reader_retry_delay);
     source_->set_reading(reading);
     if (announced_revision_ != source_->applied_revision())
     {
