Read the discovery source once for the fleet, with a relay in each failure domain

Change: the first node of the fleet is the root and sends updates to the first of each domain, its relay, which forwards them. A relay, a standby and the others read for themselves after 0.9, 1.15 and 1.4 s without an update. A node that is not listed yet waits 1.2 s between reads that return changes. A reader forwards what it read before it decides to stop reading: else every subscriber had to read what its relay had missed (test: relay_forwards_what_it_reads_after_a_gap).

--- a/include/jujubespan/mesh/discovery.hpp
+++ b/include/jujubespan/mesh/discovery.hpp
@@ -41,6 +41,15 @@
     virtual void on_read(const versioned_delta& changes) = 0;
 };
 
+/// @brief Delays between the calls to a discovery source.
+struct discovery_pace
+{
+    /// Longest delay after a call that failed.
+    duration max_retry_delay{std::chrono::milliseconds(800)};
+    /// Delay after a call that returned changes.
+    duration batch_delay{std::chrono::milliseconds(600)};
+};
+
 /// @brief Read-only source of the configuration and the instances.
 class discovery
 {
@@ -56,8 +65,7 @@
     /// @brief Starts or stops reading. A call in progress is completed.
     virtual void set_reading(bool enabled) = 0;
 
-    /// @brief Sets the longest delay between calls that fail.
-    virtual void set_max_retry_delay(duration delay) = 0;
+    virtual void set_pace(const discovery_pace& pace) = 0;
 
     /// @brief Applies changes that another node has read.
     /// @return `gap` if changes before them are missing.
--- a/include/jujubespan/mesh/discovery_sharing.hpp
+++ b/include/jujubespan/mesh/discovery_sharing.hpp
@@ -38,12 +38,13 @@
     virtual void on_revision_seen(std::uint64_t revision) = 0;
 };
 
-/// @brief Part of a node in reading the discovery source for its failure
-/// domain.
+/// @brief Part of a node in reading the discovery source.
 enum class reader_role
 {
-    primary,   ///< Always reads, and forwards what it reads.
-    standby,   ///< Reads and forwards soon after the primary falls silent.
+    root,      ///< Always reads, and forwards what it reads.
+    relay,     ///< First of its failure domain: forwards the updates of the
+               ///< root, or its own reads after the root falls silent.
+    standby,   ///< Reads and forwards after the relay falls silent.
     subscriber ///< Reads for itself when no update arrives.
 };
 
@@ -53,9 +54,9 @@
 /// the updates of another node, so that the number of calls to the source does
 /// not grow with the fleet.
 ///
-/// All nodes of a failure domain with the same list of instances agree on their
-/// roles without exchanging messages. Nodes whose lists differ may both read,
-/// which is harmless. A node reads for itself when updates stop arriving, when
+/// All nodes with the same list of instances agree on their roles without
+/// exchanging messages. Nodes whose lists differ may both read, which is
+/// harmless. A node reads for itself when updates stop arriving, when
 /// it misses changes, or when a message from any node shows that it has missed
 /// a change. No rule of the mesh depends on another node's diligence alone.
 class discovery_sharing
@@ -63,7 +64,7 @@
 public:
     /// @param backend_address backend server of this node, by which it finds
     /// its own entry in the list of instances.
-    discovery_sharing(std::string failure_domain, std::string backend_address);
+    explicit discovery_sharing(std::string backend_address);
 
     /// @brief Determines the role and the subscribers of this node.
     void apply(const instance_directory& list);
@@ -97,9 +98,15 @@
     /// @param revision up to which it knows all changes.
     [[nodiscard]] bool should_read(std::uint64_t revision, time_point now);
 
-    /// @brief Whether this node forwards updates to its subscribers.
+    /// @brief Whether this node forwards its own reads to its subscribers.
     [[nodiscard]] bool should_forward(time_point now) const;
 
+    /// @brief Whether this node forwards the updates of other nodes.
+    [[nodiscard]] bool forwards_updates() const
+    {
+        return role_ == reader_role::relay;
+    }
+
     /// @brief Whether a heartbeat to the subscribers is due; true once per
     /// interval.
     [[nodiscard]] bool heartbeat_due(time_point now);
@@ -111,7 +118,8 @@
     [[nodiscard]] discovery_update make_update(versioned_delta changes,
                                                time_point now) const;
 
-    /// @brief Addresses of the other nodes of the failure domain.
+    /// @brief Addresses of the other nodes of the failure domain; for the root
+    /// also those of the relays.
     [[nodiscard]] std::span<const std::string> subscribers() const
     {
         return subscribers_;
@@ -126,15 +134,20 @@
 
     [[nodiscard]] reader_role role() const { return role_; }
 
+    /// @brief Whether the instance of this node is listed, so that other nodes
+    /// send it updates.
+    [[nodiscard]] bool listed() const { return listed_; }
+
 private:
+    [[nodiscard]] duration update_timeout() const;
     [[nodiscard]] bool updates_arrive(time_point now) const;
     [[nodiscard]] bool misses_change(std::uint64_t revision, time_point now);
     void record_contact(time_point at);
 
-    std::string failure_domain_;
     std::string backend_address_;
     reader_role role_{reader_role::subscriber};
     std::vector<std::string> subscribers_;
+    bool listed_{false};
     bool reading_{true};
     bool interrupted_{false};
     /// A gap in the updates, or the first state, is to be read.
--- a/src/jujubespan/mesh/discovery_sharing.cpp
+++ b/src/jujubespan/mesh/discovery_sharing.cpp
@@ -1,9 +1,11 @@
 #include "jujubespan/mesh/discovery_sharing.hpp"
 
-#include "jujubespan/policy/control_plane.hpp"
+#include "jujubespan/policy/stable_hash.hpp"
 
 #include <algorithm>
+#include <map>
 #include <numeric>
+#include <utility>
 
 namespace jujubespan::mesh
 {
@@ -12,9 +14,11 @@
 {
 
 constexpr duration heartbeat_interval = std::chrono::milliseconds(400);
-// Time without an update after which a node reads for itself. A change must
-// take effect within two seconds even if a reader stops just before it.
-constexpr duration standby_timeout = std::chrono::milliseconds(900);
+// Time without an update after which a node reads for itself; longer for those
+// that another one reads for. A change must take effect within two seconds even
+// if a reader stops just before it.
+constexpr duration relay_timeout = std::chrono::milliseconds(900);
+constexpr duration standby_timeout = std::chrono::milliseconds(1150);
 constexpr duration subscriber_timeout = std::chrono::milliseconds(1400);
 // Time allowed for a change that another node has applied to arrive here.
 // Readers read changes in batches, at different times.
@@ -34,14 +38,64 @@
         { return sum + entry.key.size() + entry.value.size(); });
 }
 
+// The first two candidates of a failure domain, by rendezvous hash.
+struct domain_readers
+{
+    const instance* first{nullptr};
+    const instance* second{nullptr};
+    std::uint64_t first_rank{0};
+    std::uint64_t second_rank{0};
+
+    void add(const instance& candidate)
+    {
+        const auto rank = stable_hash(candidate.id);
+        if (first == nullptr || rank > first_rank)
+        {
+            second = std::exchange(first, &candidate);
+            second_rank = std::exchange(first_rank, rank);
+        }
+        else if (second == nullptr || rank > second_rank)
+        {
+            second = &candidate;
+            second_rank = rank;
+        }
+    }
+};
+
+using readers_by_domain = std::map<std::string_view, domain_readers>;
+
+readers_by_domain select_readers(std::span<const instance> list)
+{
+    readers_by_domain readers;
+    for (const auto& item : list)
+    {
+        if (!item.leaving)
+        {
+            readers[item.failure_domain].add(item);
+        }
+    }
+    return readers;
+}
+
+const instance* select_root(const readers_by_domain& readers)
+{
+    const auto root =
+        std::max_element(readers.begin(), readers.end(),
+                         [](const auto& a, const auto& b)
+                         { return a.second.first_rank < b.second.first_rank; });
+    return root == readers.end() ? nullptr : root->second.first;
+}
+
 } // namespace
 
 std::string_view to_string(reader_role role)
 {
     switch (role)
     {
-    case reader_role::primary:
-        return "primary";
+    case reader_role::root:
+        return "root";
+    case reader_role::relay:
+        return "relay";
     case reader_role::standby:
         return "standby";
     case reader_role::subscriber:
@@ -50,10 +104,8 @@
     return "unknown";
 }
 
-discovery_sharing::discovery_sharing(std::string failure_domain,
-                                     std::string backend_address)
-    : failure_domain_(std::move(failure_domain)),
-      backend_address_(std::move(backend_address))
+discovery_sharing::discovery_sharing(std::string backend_address)
+    : backend_address_(std::move(backend_address))
 {
 }
 
@@ -62,26 +114,40 @@
     subscribers_.clear();
     role_ = reader_role::subscriber;
     const auto* self = list.find_by_backend_address(backend_address_);
+    listed_ = self != nullptr;
     if (self == nullptr || self->leaving)
     {
         return;
     }
     const auto all = list.all();
+    const auto readers = select_readers(all);
+    const auto& own_domain = readers.at(self->failure_domain);
+    if (self->id == select_root(readers)->id)
+    {
+        role_ = reader_role::root;
+    }
+    else if (self->id == own_domain.first->id)
+    {
+        role_ = reader_role::relay;
+    }
+    else if (own_domain.second != nullptr && self->id == own_domain.second->id)
+    {
+        role_ = reader_role::standby;
+    }
     for (const auto& item : all)
     {
-        if (item.failure_domain == failure_domain_ &&
-            item.call_address != self->call_address)
+        const bool same_domain = item.failure_domain == self->failure_domain;
+        if (same_domain && item.call_address != self->call_address)
         {
             subscribers_.push_back(item.call_address);
         }
     }
-    if (is_reader(self->id, failure_domain_, all, 1))
-    {
-        role_ = reader_role::primary;
-    }
-    else if (is_reader(self->id, failure_domain_, all, 2))
+    for (const auto& [domain, candidates] : readers)
     {
-        role_ = reader_role::standby;
+        if (role_ == reader_role::root && domain != self->failure_domain)
+        {
+            subscribers_.push_back(candidates.first->call_address);
+        }
     }
 }
 
@@ -154,7 +220,7 @@
 bool discovery_sharing::should_read(std::uint64_t revision, time_point now)
 {
     const bool missed = misses_change(revision, now);
-    reading_ = role_ == reader_role::primary || interrupted_ || must_read_ ||
+    reading_ = role_ == reader_role::root || interrupted_ || must_read_ ||
                missed || !updates_arrive(now);
     return reading_;
 }
--- a/src/jujubespan/mesh/discovery_sharing_test.cpp
+++ b/src/jujubespan/mesh/discovery_sharing_test.cpp
@@ -63,9 +63,8 @@
             const auto self =
                 make_instance(i, fmt::format("domain-{}", i % domains));
             list.put(self);
-            nodes_.push_back(
-                {self, std::make_unique<discovery_sharing>(
-                           self.failure_domain, self.backend_address)});
+            nodes_.push_back({self, std::make_unique<discovery_sharing>(
+                                        self.backend_address)});
         }
         for (auto& n : nodes_)
         {
@@ -88,14 +87,16 @@
         }
     }
 
-    node& primary_of(const std::string& domain)
+    // The first reader of a failure domain: its relay, or the root.
+    node& first_reader_of(const std::string& domain)
     {
         return *std::find_if(nodes_.begin(), nodes_.end(),
                              [&](const node& n)
                              {
+                                 const auto role = n.sharing->role();
                                  return n.self.failure_domain == domain &&
-                                        n.sharing->role() ==
-                                            reader_role::primary;
+                                        (role == reader_role::root ||
+                                         role == reader_role::relay);
                              });
     }
 
@@ -160,8 +161,7 @@
         const versioned_delta changes{n.revision, source_revision, false, {}};
         n.revision = source_revision;
         n.sharing->on_own_read(n.revision, now);
-        if (n.sharing->should_read(n.revision, now) &&
-            n.sharing->should_forward(now))
+        if (n.sharing->should_forward(now))
         {
             send(n, n.sharing->make_update(changes, now));
         }
@@ -185,6 +185,10 @@
             }
             to.revision = std::max(to.revision, update.changes.revision);
             to.sharing->on_update(to.revision, update.age, now);
+            if (to.sharing->forwards_updates())
+            {
+                send(to, update);
+            }
         }
     }
 
@@ -208,15 +212,15 @@
     }
 };
 
-TEST(discovery_sharing, calm_fleet_reads_once_for_each_failure_domain)
+TEST(discovery_sharing, one_node_of_a_calm_fleet_reads)
 {
     simulated_fleet fleet(195, 5);
     fleet.run_for(5s);
     const int before = fleet.total_calls();
     EXPECT_LE(before, 195 * 2) << "calls of the start";
     fleet.run_for(60s);
-    EXPECT_LE(fleet.total_calls() - before, 5 * 60 / 2)
-        << "one read of two seconds after the other in each domain";
+    EXPECT_LE(fleet.total_calls() - before, 60 / 2)
+        << "one read of two seconds after the other";
 }
 
 // A rolling replacement of backend servers changes the source all the time.
@@ -240,6 +244,28 @@
     EXPECT_EQ(calls[30], calls[300]);
 }
 
+// The relay reads what it missed; its subscribers must not have to read it too.
+TEST(discovery_sharing, relay_forwards_what_it_reads_after_a_gap)
+{
+    simulated_fleet fleet(60, 3);
+    fleet.run_for(5s);
+    for (const auto* domain : {"domain-0", "domain-1", "domain-2"})
+    {
+        auto& reader = fleet.first_reader_of(domain);
+        if (reader.sharing->role() == reader_role::relay)
+        {
+            const int before = fleet.total_calls();
+            ++fleet.source_revision;
+            reader.sharing->on_gap();
+            fleet.run_for(duration(tick));
+            EXPECT_GE(fleet.total_calls() - before, 1);
+            EXPECT_LE(fleet.total_calls() - before, 2) << "relay and root";
+        }
+    }
+    fleet.run_for(1s);
+    EXPECT_EQ(fleet.outdated(), 0);
+}
+
 class changed_fleet : public ::testing::Test
 {
 protected:
@@ -265,7 +291,7 @@
     fleet.run_for(5s);
     for (const auto* domain : {"domain-0", "domain-1", "domain-2"})
     {
-        fleet.primary_of(domain).alive = false;
+        fleet.first_reader_of(domain).alive = false;
     }
     expect_change_in_time();
 }
@@ -285,7 +311,7 @@
 TEST_F(changed_fleet, knows_a_change_while_a_reader_is_cut_off_from_the_source)
 {
     fleet.run_for(5s);
-    fleet.primary_of("domain-1").source_reachable = false;
+    fleet.first_reader_of("domain-1").source_reachable = false;
     expect_change_in_time();
     fleet.run_for(2s);
     expect_change_in_time();
@@ -295,7 +321,7 @@
 {
     fleet.calls_between_nodes = false;
     fleet.run_for(5s);
-    fleet.primary_of("domain-2").alive = false;
+    fleet.first_reader_of("domain-2").alive = false;
     expect_change_in_time();
 }
 
@@ -312,8 +338,8 @@
 TEST_F(changed_fleet, node_that_no_other_lists_reads_for_itself)
 {
     const auto own = make_instance(100, "domain-0");
-    fleet.nodes_.push_back({own, std::make_unique<discovery_sharing>(
-                                     own.failure_domain, own.backend_address)});
+    fleet.nodes_.push_back(
+        {own, std::make_unique<discovery_sharing>(own.backend_address)});
     fleet.nodes_.back().sharing->apply(fleet.list);
     fleet.run_for(5s);
     expect_change_in_time();
@@ -331,13 +357,13 @@
         for (int i = 0; i < 8; ++i)
         {
             auto candidate =
-                std::make_unique<discovery_sharing>("d", backend_address(i));
+                std::make_unique<discovery_sharing>(backend_address(i));
             candidate->apply(list);
             by_role[candidate->role()] = std::move(candidate);
         }
     }
 
-    discovery_sharing& primary() { return *by_role[reader_role::primary]; }
+    discovery_sharing& root() { return *by_role[reader_role::root]; }
     discovery_sharing& subscriber()
     {
         return *by_role[reader_role::subscriber];
@@ -351,7 +377,7 @@
 TEST_F(single_node, has_each_role_in_a_failure_domain)
 {
     EXPECT_EQ(by_role.size(), 3U);
-    EXPECT_EQ(primary().subscribers().size(), 7U);
+    EXPECT_EQ(root().subscribers().size(), 7U);
 }
 
 TEST_F(single_node, reads_the_first_state_itself)
@@ -378,16 +404,16 @@
 // has subscribers that it must not reassure.
 TEST_F(single_node, reader_without_contact_sends_no_heartbeat)
 {
-    primary().on_own_read(5, now);
-    EXPECT_TRUE(primary().should_read(5, now));
-    EXPECT_TRUE(primary().heartbeat_due(now));
-    EXPECT_FALSE(primary().heartbeat_due(now + 100ms));
-    EXPECT_TRUE(primary().heartbeat_due(now + 500ms));
-    EXPECT_FALSE(primary().heartbeat_due(now + 10s));
-    primary().on_own_read(6, now + 10s);
-    EXPECT_TRUE(primary().heartbeat_due(now + 10s));
-    primary().on_interrupted();
-    EXPECT_FALSE(primary().heartbeat_due(now + 11s));
+    root().on_own_read(5, now);
+    EXPECT_TRUE(root().should_read(5, now));
+    EXPECT_TRUE(root().heartbeat_due(now));
+    EXPECT_FALSE(root().heartbeat_due(now + 100ms));
+    EXPECT_TRUE(root().heartbeat_due(now + 500ms));
+    EXPECT_FALSE(root().heartbeat_due(now + 10s));
+    root().on_own_read(6, now + 10s);
+    EXPECT_TRUE(root().heartbeat_due(now + 10s));
+    root().on_interrupted();
+    EXPECT_FALSE(root().heartbeat_due(now + 11s));
 }
 
 TEST_F(single_node, outdated_update_does_not_replace_a_read)
@@ -422,7 +448,7 @@
     versioned_delta changes{5, 7, false, {}};
     changes.entries.push_back(
         {"configuration", 7, std::string(1U << 20U, 'x'), false});
-    const auto update = primary().make_update(changes, now);
+    const auto update = root().make_update(changes, now);
     EXPECT_TRUE(update.changes.entries.empty());
     EXPECT_EQ(update.changes.after, 7U);
     EXPECT_EQ(update.changes.revision, 7U);
@@ -437,7 +463,7 @@
         leaving.leaving = true;
         instance_directory changed = list;
         changed.put(leaving);
-        discovery_sharing node("d", backend_address(i));
+        discovery_sharing node(backend_address(i));
         node.apply(changed);
         readers += node.role() == reader_role::subscriber ? 0 : 1;
     }
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -25,6 +25,12 @@
 // with the timeout of a read.
 constexpr duration reader_retry_delay = std::chrono::milliseconds(800);
 constexpr duration subscriber_retry_delay = std::chrono::milliseconds(1600);
+// Delays of the next read after one that returned changes, which it then
+// returns together. A change must take effect within two seconds, also on a
+// node that learns from another one only that it is missing a change. At the
+// start of a fleet, its nodes are not listed and many instances are added.
+constexpr duration batch_delay = std::chrono::milliseconds(600);
+constexpr duration unlisted_batch_delay = std::chrono::milliseconds(1200);
 // Further defects of a configuration are only counted.
 constexpr std::size_t max_logged_defects = 16;
 constexpr unsigned status_ok = 200;
@@ -61,8 +67,7 @@
                            std::string settings_file, mesh_loop& traffic)
     : options_(options), settings_file_(std::move(settings_file)),
       settings_modified_at_(modification_time(settings_file_)),
-      traffic_(traffic), sharing_(options.failure_domain,
-                                  config::to_string(options.backend_address)),
+      traffic_(traffic), sharing_(config::to_string(options.backend_address)),
       metrics_server_(config::resource_limits{}, *this)
 {
     QObject::connect(&tick_timer_, &QTimer::timeout, &context_object_,
@@ -173,11 +178,13 @@
 {
     const auto now = boot_clock::now();
     sharing_.on_own_read(changes.revision, now);
-    update_reading();
+    // Before the decision to stop reading: the subscribers miss the changes
+    // too.
     if (sharing_.should_forward(now))
     {
         forward(sharing_.make_update(changes, now));
     }
+    update_reading();
 }
 
 void mesh_control::on_update(std::string_view peer,
@@ -223,6 +230,10 @@
     {
         sharing_.on_update(update.changes.revision, update.age,
                            boot_clock::now());
+        if (sharing_.forwards_updates())
+        {
+            forward(update);
+        }
     }
     update_reading();
 }
@@ -256,9 +267,10 @@
     }
     reading_ = reading;
     reader_role_ = sharing_.role();
-    source_->set_max_retry_delay(reader_role_ == mesh::reader_role::subscriber
-                                     ? subscriber_retry_delay
-                                     : reader_retry_delay);
+    source_->set_pace({reader_role_ == mesh::reader_role::subscriber
+                           ? subscriber_retry_delay
+                           : reader_retry_delay,
+                       sharing_.listed() ? batch_delay : unlisted_batch_delay});
     source_->set_reading(reading);
     if (announced_revision_ != source_->applied_revision())
     {
