--- a/include/jujubespan/peer/routed_transport.hpp
+++ b/include/jujubespan/peer/routed_transport.hpp
@@ -101,7 +101,7 @@
     mesh::discovery_update_handler* update_handler_{nullptr};
     std::uint64_t highest_discovery_revision_{0}; ///< Of received messages.
     time_point next_connection_check_{};
-    string_map<time_point> last_listed_;          // by address
+    string_map<time_point> last_listed_; // by address
     QObject context_object_; // Its destruction discards queued invocations.
 };
 
--- a/src/jujubespan/mesh/discovery_sharing_test.cpp
+++ b/src/jujubespan/mesh/discovery_sharing_test.cpp
@@ -56,17 +56,17 @@
         int calls{0};
     };
 
-    simulated_fleet(int nodes, int domains)
+    simulated_fleet(int node_count, int domains)
     {
-        for (int i = 0; i < nodes; ++i)
+        for (int i = 0; i < node_count; ++i)
         {
             const auto self =
                 make_instance(i, fmt::format("domain-{}", i % domains));
             list.put(self);
-            nodes_.push_back({self, std::make_unique<discovery_sharing>(
-                                        self.backend_address)});
+            nodes.push_back({self, std::make_unique<discovery_sharing>(
+                                       self.backend_address)});
         }
-        for (auto& n : nodes_)
+        for (auto& n : nodes)
         {
             n.sharing->apply(list);
         }
@@ -76,7 +76,7 @@
     {
         for (const auto end = now + length; now < end; now += tick)
         {
-            for (auto& n : nodes_)
+            for (auto& n : nodes)
             {
                 if (n.alive)
                 {
@@ -90,7 +90,7 @@
     // The first reader of a failure domain: its relay, or the root.
     node& first_reader_of(const std::string& domain)
     {
-        return *std::find_if(nodes_.begin(), nodes_.end(),
+        return *std::find_if(nodes.begin(), nodes.end(),
                              [&](const node& n)
                              {
                                  const auto role = n.sharing->role();
@@ -103,7 +103,7 @@
     [[nodiscard]] int total_calls() const
     {
         int sum = 0;
-        for (const auto& n : nodes_)
+        for (const auto& n : nodes)
         {
             sum += n.calls;
         }
@@ -113,7 +113,7 @@
     // Number of living nodes that reach the source and miss a change.
     [[nodiscard]] int outdated() const
     {
-        return static_cast<int>(std::count_if(nodes_.begin(), nodes_.end(),
+        return static_cast<int>(std::count_if(nodes.begin(), nodes.end(),
                                               [this](const node& n) {
                                                   return n.alive &&
                                                          n.source_reachable &&
@@ -123,7 +123,7 @@
     }
 
     instance_directory list;
-    std::vector<node> nodes_;
+    std::vector<node> nodes;
     std::uint64_t source_revision{1};
     time_point now{1000s};
     bool calls_between_nodes{true};
@@ -169,7 +169,7 @@
 
     void send(const node& from, const discovery_update& update)
     {
-        for (auto& to : nodes_)
+        for (auto& to : nodes)
         {
             const auto peers = from.sharing->subscribers();
             if (!to.alive || !from.peers_reachable || !to.peers_reachable ||
@@ -196,13 +196,13 @@
     void exchange_calls()
     {
         std::uint64_t highest = 0;
-        for (const auto& n : nodes_)
+        for (const auto& n : nodes)
         {
             highest = n.alive && n.peers_reachable
                           ? std::max(highest, n.revision)
                           : highest;
         }
-        for (auto& n : nodes_)
+        for (auto& n : nodes)
         {
             if (calls_between_nodes && n.alive && n.peers_reachable)
             {
@@ -300,10 +300,10 @@
 TEST_F(changed_fleet, knows_a_change_after_half_of_the_fleet_is_killed)
 {
     fleet.run_for(5s);
-    for (auto& n : fleet.nodes_)
+    for (auto& n : fleet.nodes)
     {
         n.alive = n.alive && n.sharing->role() == reader_role::subscriber &&
-                  &n - fleet.nodes_.data() < 40;
+                  &n - fleet.nodes.data() < 40;
     }
     expect_change_in_time();
 }
@@ -328,7 +328,7 @@
 TEST_F(changed_fleet, node_cut_off_from_its_peers_reads_for_itself)
 {
     fleet.run_for(5s);
-    for (auto& n : fleet.nodes_)
+    for (auto& n : fleet.nodes)
     {
         n.peers_reachable = n.self.failure_domain != "domain-0";
     }
@@ -338,9 +338,9 @@
 TEST_F(changed_fleet, node_that_no_other_lists_reads_for_itself)
 {
     const auto own = make_instance(100, "domain-0");
-    fleet.nodes_.push_back(
+    fleet.nodes.push_back(
         {own, std::make_unique<discovery_sharing>(own.backend_address)});
-    fleet.nodes_.back().sharing->apply(fleet.list);
+    fleet.nodes.back().sharing->apply(fleet.list);
     fleet.run_for(5s);
     expect_change_in_time();
 }
--- a/src/jujubespan/peer/messenger_test.cpp
+++ b/src/jujubespan/peer/messenger_test.cpp
@@ -132,8 +132,10 @@
     auto context = make_context();
     recorder handler;
     messenger target(context, "a", 1, {}, handler);
+    constexpr int peer_count = 400;
     std::vector<peer_address> peers;
-    for (int i = 0; i < 400; ++i)
+    peers.reserve(peer_count);
+    for (int i = 0; i < peer_count; ++i)
     {
         peers.push_back({"node-" + std::to_string(i), "127.0.0.1:9", ""});
     }
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -103,7 +103,7 @@
     // from `send_call`.
     QMetaObject::invokeMethod(
         &context_object_,
-        [this, exchange = *exchange, call]() mutable
+        [this, exchange = *exchange, call = call]() mutable
         {
             if (inbound_.is_open(exchange)) // Not cancelled in the meantime.
             {
