Notice a dead peer whose calls were all cancelled

Their cancellation left no unanswered call, so no heartbeat was sent.

A peer now owes a sign of life from the first call until it sends anything, whether or not the call is cancelled meanwhile (test: whose_calls_were_all_cancelled_is_lost, failed before). client_gone names the instance that had the request: the line that was missing to see this.

--- a/src/jujubespan/mesh/egress_completion.cpp
+++ b/src/jujubespan/mesh/egress_completion.cpp
@@ -72,9 +72,10 @@
     open_call call = remove_call(calls_.find(id));
     cancel_attempt(id, call, now);
     ++shared_.metrics.clients_disconnected;
-    log(log_level::info, "client_gone", "request={} route={} after_ms={}",
-        call.message.request_id, call.message.route,
-        milliseconds(now - call.received_at));
+    log(log_level::info, "client_gone",
+        "request={} route={} instance={} attempts={} after_ms={}",
+        call.message.request_id, call.message.route, call.instance,
+        call.tried_instances.size(), milliseconds(now - call.received_at));
 }
 
 void egress::cancel_attempt(std::uint64_t id, open_call& call, time_point now)
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -70,7 +70,9 @@
     // Heartbeats while calls are unanswered.
     std::size_t unanswered_calls{0};
     bool answers_heartbeats{false};
-    time_point silent_since{};
+    // Since when the peer owes an answer and has sent nothing. A cancelled call
+    // counts until the peer has sent something.
+    std::optional<time_point> waiting_since;
     std::optional<time_point> heartbeat_sent_at;
 };
 
@@ -212,8 +214,7 @@
     ++counters_.sent;
     if (message.has_call())
     {
-        to.silent_since =
-            to.unanswered_calls == 0 ? boot_clock::now() : to.silent_since;
+        to.waiting_since = to.waiting_since.value_or(boot_clock::now());
         ++to.unanswered_calls;
     }
     else if (message.has_cancel() && to.unanswered_calls > 0)
@@ -240,12 +241,11 @@
     std::vector<std::string> dead;
     for (const auto& [id, to] : connections_)
     {
-        const bool waiting =
-            to->connected && to->unanswered_calls > 0 && to->answers_heartbeats;
-        if (!waiting ||
-            now - to->silent_since <= connection_options_.heartbeat_interval)
+        const bool silent =
+            to->connected && to->answers_heartbeats && to->waiting_since &&
+            now - *to->waiting_since > connection_options_.heartbeat_interval;
+        if (!silent)
         {
-            to->heartbeat_sent_at.reset();
             continue;
         }
         if (!to->heartbeat_sent_at)
@@ -351,13 +351,18 @@
     }
     if (from != nullptr)
     {
-        from->silent_since = boot_clock::now();
         from->answers_heartbeats =
             from->answers_heartbeats || message.has_heartbeat();
         if (message.has_reply() && from->unanswered_calls > 0)
         {
             --from->unanswered_calls;
         }
+        from->heartbeat_sent_at.reset();
+        from->waiting_since.reset();
+        if (from->unanswered_calls > 0)
+        {
+            from->waiting_since = boot_clock::now();
+        }
     }
     handler_.on_message(message, reply_to);
 }
@@ -380,6 +385,8 @@
         {
             from.connected = true;
             from.unanswered_calls = 0;
+            from.waiting_since.reset();
+            from.heartbeat_sent_at.reset();
             if (!connection_options_.heartbeat_idle_connections)
             {
                 send_heartbeat(from); // Finds out whether the peer answers it.
--- a/src/jujubespan/peer/messenger_test.cpp
+++ b/src/jujubespan/peer/messenger_test.cpp
@@ -277,6 +277,18 @@
     EXPECT_EQ(target.connection_count(), 0U);
 }
 
+// Clients with short deadlines leave before a dead peer is noticed, and their
+// calls are cancelled.
+TEST_F(silent_peer, whose_calls_were_all_cancelled_is_lost)
+{
+    run_for(300, true);
+    v1::Envelope cancel;
+    cancel.mutable_cancel()->set_id(7);
+    target.send("b", cancel, boot_clock::now());
+    run_for(600, false);
+    EXPECT_EQ(handler.lost, std::vector<std::string>{"b"});
+}
+
 // Each node of a large fleet has a connection to every other one.
 TEST_F(silent_peer, gets_no_heartbeats_while_the_connection_is_idle)
 {
