--- a/include/jujubespan/mesh/discovery_sharing.hpp
+++ b/include/jujubespan/mesh/discovery_sharing.hpp
@@ -56,9 +56,9 @@
 ///
 /// All nodes with the same list of instances agree on their roles without
 /// exchanging messages. Nodes whose lists differ may both read, which is
-/// harmless. A node reads for itself when updates stop arriving, when
-/// it misses changes, or when a message from any node shows that it has missed
-/// a change. No rule of the mesh depends on another node's diligence alone.
+/// harmless. Every node can read for itself, and does so when updates stop,
+/// when changes before an update are missing, or when a message from any node
+/// shows a change that has not arrived.
 class discovery_sharing
 {
 public:
@@ -150,7 +150,7 @@
     bool listed_{false};
     bool reading_{true};
     bool interrupted_{false};
-    /// A gap in the updates, or the first state, is to be read.
+    /// The first state, or changes that no update contained, must be read.
     bool must_read_{true};
     std::optional<time_point> last_own_read_;
     std::optional<time_point> last_update_;
--- a/src/jujubespan/node/mesh_loop_test.cpp
+++ b/src/jujubespan/node/mesh_loop_test.cpp
@@ -193,6 +193,64 @@
     EXPECT_EQ(client.status(1), 504U);
 }
 
+class recording_updates final : public mesh::discovery_update_handler
+{
+public:
+    void on_update(std::string_view peer,
+                   const mesh::discovery_update& update) override
+    {
+        sender = peer;
+        last = update;
+        ++update_count;
+    }
+    void on_revision_seen(std::uint64_t seen) override { revision = seen; }
+
+    std::string sender;
+    mesh::discovery_update last;
+    std::atomic<int> update_count{0};
+    std::atomic<std::uint64_t> revision{0};
+};
+
+TEST_F(two_nodes, discovery_update_reaches_the_other_node)
+{
+    recording_updates received;
+    auto& callee = callee_node.loop();
+    callee.run_and_wait([&] { callee.set_update_handler(&received); });
+    mesh::discovery_update update;
+    update.changes = {
+        5, 7, false, {{"a", 6, "value", false, 3}, {"b", 7, "", true, 0}}};
+    update.age = std::chrono::milliseconds(250);
+    auto& caller = caller_node.loop();
+    caller.run_and_wait(
+        [&]
+        {
+            const std::vector<std::string> peers{
+                config::to_string(callee_settings.call_address)};
+            caller.send_update(peers, update);
+        });
+    EXPECT_TRUE(wait_for([&] { return received.update_count == 1; }));
+    callee.run_and_wait([&] { callee.set_update_handler(nullptr); });
+    EXPECT_EQ(received.sender, config::to_string(caller_settings.call_address));
+    EXPECT_EQ(received.last.changes.after, 5U);
+    EXPECT_EQ(received.last.changes.revision, 7U);
+    EXPECT_EQ(received.last.changes.entries, update.changes.entries);
+    EXPECT_EQ(received.last.age, update.age);
+}
+
+// A node that misses a change learns so from any call.
+TEST_F(two_nodes, call_carries_the_discovery_revision_of_its_sender)
+{
+    recording_updates received;
+    auto& callee = callee_node.loop();
+    auto& caller = caller_node.loop();
+    callee.run_and_wait([&] { callee.set_update_handler(&received); });
+    caller.run_and_wait([&] { caller.set_discovery_revision(42); });
+    client.client.start(1, request("id-1"));
+    EXPECT_TRUE(wait_for([&] { return client.status(1) == 200; }));
+    EXPECT_EQ(received.revision, 42U);
+    callee.run_and_wait([&] { callee.set_update_handler(nullptr); });
+}
+
 TEST_F(two_nodes, draining_node_fails_readiness_and_still_serves_requests)
 {
     recording_client readiness_client(caller_settings.readiness_address);
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -70,8 +70,10 @@
     // Heartbeats while calls are unanswered.
     std::size_t unanswered_calls{0};
     bool answers_heartbeats{false};
-    // Since when the peer owes an answer and has sent nothing. A cancelled call
-    // counts until the peer has sent something.
+    // Time of the first call, or of the last message from the peer, while a
+    // call is unanswered. A cancelled call counts until the peer sends a
+    // message: a dead peer must also be detected when all its calls are
+    // cancelled early.
     std::optional<time_point> waiting_since;
     std::optional<time_point> heartbeat_sent_at;
 };
