Do not use a client's connection after a failed write has destroyed it

Cause: when a client has reset its connection and the server has not been notified yet, flush() fails, Qt reports the disconnection at once, and the connection object is destroyed while respond() still uses it. AddressSanitizer on the code before: heap-use-after-free in server_connection::respond, in the new test response_to_a_client_that_reset_its_connection; none after.

The test crashes or passes without a sanitizer, as the freed memory allows.

--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <QHostAddress>
+#include <QPointer>
 #include <QTcpSocket>
 
 #include <sys/socket.h>
@@ -104,7 +105,10 @@
         release_buffered_bytes();
         add_buffered_bytes(static_cast<std::size_t>(receive_buffer_.size()));
         socket_->write(serialize(response, keep_open, head_request_));
-        socket_->flush(); // Otherwise sent in the next event loop iteration.
+        if (!flush())
+        {
+            return;
+        }
         if (!keep_open)
         {
             close_after_write();
@@ -158,7 +162,10 @@
     void reject(unsigned status, std::string_view reason)
     {
         socket_->write(serialize(make_rejection(status, reason), false, false));
-        socket_->flush();
+        if (!flush())
+        {
+            return;
+        }
         if (socket_->bytesToWrite() > 0)
         {
             close_after_write();
@@ -230,6 +237,16 @@
         own_buffered_bytes_ = 0;
     }
 
+    // Writes at once instead of in the next iteration of the event loop. If the
+    // client has reset the connection, Qt reports the disconnection meanwhile,
+    // which destroys this object. Returns false in that case.
+    bool flush()
+    {
+        const QPointer<QObject> context(&context_object_);
+        socket_->flush();
+        return !context.isNull();
+    }
+
     // Closing a connection with unread data resets it, and the client loses the
     // response. The rest of the request is therefore received and dropped until
     // the client closes.
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -14,6 +14,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <cstring>
 #include <functional>
 #include <map>
 #include <netinet/in.h>
@@ -55,6 +56,20 @@
         return socket;
     }
 
+    // Connects a socket that is not part of the event loop.
+    [[nodiscard]] int open_raw_connection() const
+    {
+        const int client = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(address.port);
+        EXPECT_EQ(::inet_pton(AF_INET, address.host.c_str(), &to.sin_addr), 1);
+        EXPECT_EQ(::connect(client, reinterpret_cast<const sockaddr*>(&to),
+                            sizeof to),
+                  0);
+        return client;
+    }
+
     static QByteArray read_until_closed(QTcpSocket& socket)
     {
         wait_for(
@@ -188,14 +203,7 @@
 // A raw socket, since QTcpSocket closes itself once the server has.
 TEST_F(http_server, connection_of_a_client_that_goes_on_sending_is_closed)
 {
-    const int client = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(address.port);
-    ASSERT_EQ(::inet_pton(AF_INET, address.host.c_str(), &to.sin_addr), 1);
-    ASSERT_EQ(
-        ::connect(client, reinterpret_cast<const sockaddr*>(&to), sizeof to),
-        0);
+    const int client = open_raw_connection();
     const QByteArray header =
         "POST / HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n";
     ::send(client, header.data(), static_cast<std::size_t>(header.size()), 0);
@@ -210,6 +218,26 @@
     ::close(client);
 }
 
+// The response or rejection is written after the client has reset the
+// connection, and before the server was notified of that. The write fails and
+// destroys the connection.
+TEST_F(http_server, response_to_a_client_that_reset_its_connection)
+{
+    for (const char* request : {"GET / HTTP/1.1\r\n\r\n",
+                                "GET / HTTP/1.1\r\nConnection: close\r\n\r\n"})
+    {
+        handler.requests.clear();
+        const int client = open_raw_connection();
+        ::send(client, request, std::strlen(request), 0);
+        ASSERT_TRUE(wait_for([&] { return !handler.requests.empty(); }));
+        const linger reset{1, 0};
+        ::setsockopt(client, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        ::close(client);
+        target->respond(handler.requests.begin()->first, {200, {}, "ok"});
+        EXPECT_TRUE(wait_for([&] { return target->connection_count() == 0; }));
+    }
+}
+
 // Requests of a client whose body ends early, pauses or is damaged.
 TEST_F(http_server, incomplete_body_is_never_passed_on)
 {
