Rely on a reader only as long as the source answers it

The store was silent to six of 17 nodes, the root among them. It sent heartbeats until its read timed out 2.7 s later, so no node of the fleet read a change made in that time.

Cause: subscribers measured the age of the last message, not that of the last answer of the source; and a relay used the timeout of a subscriber.

Change: a node reads for itself when the last answer of the source to its reader is older than 1.2 s (relay), 1.4 s (standby) or 1.6 s (others); readers watch with a wait of 0.5 s and send no heartbeat beyond 1.2 s.

--- a/include/jujubespan/mesh/discovery.hpp
+++ b/include/jujubespan/mesh/discovery.hpp
@@ -48,6 +48,8 @@
     duration max_retry_delay{std::chrono::milliseconds(800)};
     /// Delay after a call that returned changes.
     duration batch_delay{std::chrono::milliseconds(600)};
+    /// Longest time that the source holds a call without changes.
+    duration watch_wait{std::chrono::milliseconds(2000)};
 };
 
 /// @brief Read-only source of the configuration and the instances.
--- a/include/jujubespan/mesh/discovery_sharing.hpp
+++ b/include/jujubespan/mesh/discovery_sharing.hpp
@@ -139,7 +139,7 @@
     [[nodiscard]] bool listed() const { return listed_; }
 
 private:
-    [[nodiscard]] duration update_timeout() const;
+    [[nodiscard]] duration max_update_age() const;
     [[nodiscard]] bool updates_arrive(time_point now) const;
     [[nodiscard]] bool misses_change(std::uint64_t revision, time_point now);
     void record_contact(time_point at);
@@ -153,7 +153,8 @@
     /// The first state, or changes that no update contained, must be read.
     bool must_read_{true};
     std::optional<time_point> last_own_read_;
-    std::optional<time_point> last_update_;
+    /// Time at which the source last answered the sender of an update.
+    std::optional<time_point> update_contact_;
     std::optional<time_point> last_contact_;
     time_point next_heartbeat_{};
     std::uint64_t confirmed_revision_{0}; ///< Of the last own read.
--- a/src/jujubespan/mesh/discovery_sharing.cpp
+++ b/src/jujubespan/mesh/discovery_sharing.cpp
@@ -14,18 +14,16 @@
 {
 
 constexpr duration heartbeat_interval = std::chrono::milliseconds(400);
-// Time without an update after which a node reads for itself; longer for those
-// that another one reads for. A change must take effect within two seconds even
-// if a reader stops just before it.
-constexpr duration relay_timeout = std::chrono::milliseconds(900);
-constexpr duration standby_timeout = std::chrono::milliseconds(1150);
-constexpr duration subscriber_timeout = std::chrono::milliseconds(1400);
+// Age of the last answer of the source to the reader of a node's updates, after
+// which the node reads for itself; longer for those that another one reads for.
+// A change must take effect within two seconds even if the source stops
+// answering a reader, without an error, just before it.
+constexpr duration relay_max_age = std::chrono::milliseconds(1200);
+constexpr duration standby_max_age = std::chrono::milliseconds(1400);
+constexpr duration subscriber_max_age = std::chrono::milliseconds(1600);
 // Time allowed for a change that another node has applied to arrive here.
 // Readers read changes in batches, at different times.
 constexpr duration missing_change_delay = std::chrono::milliseconds(900);
-// A reader whose last response is older has lost its connection to the source
-// without noticing, or was paused.
-constexpr duration max_contact_age = std::chrono::milliseconds(3500);
 // Larger changes would occupy the link of the reader for too long when they are
 // sent to all nodes of a failure domain.
 constexpr std::size_t max_forwarded_bytes = 64U << 10U;
@@ -172,7 +170,7 @@
 
 bool discovery_sharing::is_recent(duration age)
 {
-    return age <= max_contact_age;
+    return age <= relay_max_age;
 }
 
 void discovery_sharing::on_update(std::uint64_t revision, duration age,
@@ -183,9 +181,10 @@
         return;
     }
     interrupted_ = false;
-    last_update_ = now;
+    const auto contact = now - age;
+    update_contact_ = std::max(update_contact_.value_or(contact), contact);
     confirmed_revision_ = std::max(confirmed_revision_, revision);
-    record_contact(now - age);
+    record_contact(contact);
 }
 
 void discovery_sharing::on_gap()
@@ -193,11 +192,22 @@
     must_read_ = true;
 }
 
+duration discovery_sharing::max_update_age() const
+{
+    switch (role_)
+    {
+    case reader_role::relay:
+        return relay_max_age;
+    case reader_role::standby:
+        return standby_max_age;
+    default:
+        return subscriber_max_age;
+    }
+}
+
 bool discovery_sharing::updates_arrive(time_point now) const
 {
-    const duration timeout =
-        role_ == reader_role::standby ? standby_timeout : subscriber_timeout;
-    return last_update_ && now - *last_update_ <= timeout;
+    return update_contact_ && now - *update_contact_ <= max_update_age();
 }
 
 // Waits for one missing revision at a time. In a series of changes there is
@@ -228,8 +238,7 @@
 bool discovery_sharing::should_forward(time_point now) const
 {
     return role_ != reader_role::subscriber && reading_ && !interrupted_ &&
-           !must_read_ && last_own_read_ &&
-           now - *last_own_read_ <= max_contact_age;
+           !must_read_ && last_own_read_ && is_recent(now - *last_own_read_);
 }
 
 bool discovery_sharing::heartbeat_due(time_point now)
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -31,6 +31,12 @@
 // start of a fleet, its nodes are not listed and many instances are added.
 constexpr duration batch_delay = std::chrono::milliseconds(600);
 constexpr duration unlisted_batch_delay = std::chrono::milliseconds(1200);
+// Longest times that the source holds a read. A node must have contact with the
+// source again within three seconds after an outage, which bounds the wait with
+// the timeout of a read. Readers must notice within about a second that the
+// source does not answer them, since their subscribers rely on them.
+constexpr duration subscriber_watch_wait = std::chrono::milliseconds(2000);
+constexpr duration reader_watch_wait = std::chrono::milliseconds(500);
 // Further defects of a configuration are only counted.
 constexpr std::size_t max_logged_defects = 16;
 constexpr unsigned status_ok = 200;
@@ -267,10 +273,11 @@
     }
     reading_ = reading;
     reader_role_ = sharing_.role();
-    source_->set_pace({reader_role_ == mesh::reader_role::subscriber
-                           ? subscriber_retry_delay
-                           : reader_retry_delay,
-                       sharing_.listed() ? batch_delay : unlisted_batch_delay});
+    const bool is_subscriber = reader_role_ == mesh::reader_role::subscriber;
+    source_->set_pace(
+        {is_subscriber ? subscriber_retry_delay : reader_retry_delay,
+         sharing_.listed() ? batch_delay : unlisted_batch_delay,
+         is_subscriber ? subscriber_watch_wait : reader_watch_wait});
     source_->set_reading(reading);
     if (announced_revision_ != source_->applied_revision())
     {
--- a/src/jujubespan/peer/zmq_socket.cpp
+++ b/src/jujubespan/peer/zmq_socket.cpp
@@ -15,10 +15,9 @@
 constexpr int max_reconnect_interval_ms = 1000;
 // Keep-alive probes of the kernel. Several may be lost before the connection
 // is closed.
-constexpr int keep_alive_idle_s = 1;
+constexpr int keep_alive_idle_s = 3;
 constexpr int keep_alive_interval_s = 1;
 constexpr int keep_alive_probes = 3;
-constexpr int max_unacknowledged_ms = 3000;
 // Each connection to a node uses three sockets: its own and both ends of its
 // monitor.
 constexpr int max_sockets = 16384;
@@ -49,14 +48,10 @@
     socket.set(zmq::sockopt::sndhwm, high_water_mark_messages);
     socket.set(zmq::sockopt::rcvhwm, high_water_mark_messages);
     socket.set(zmq::sockopt::maxmsgsize, options.max_message_bytes);
-    if (options.heartbeat_idle_connections)
-    {
-        socket.set(zmq::sockopt::tcp_maxrt,
-                   static_cast<int>(milliseconds(options.heartbeat_timeout)));
-    }
-    else
+    socket.set(zmq::sockopt::tcp_maxrt,
+               static_cast<int>(milliseconds(options.heartbeat_timeout)));
+    if (!options.heartbeat_idle_connections)
     {
-        socket.set(zmq::sockopt::tcp_maxrt, max_unacknowledged_ms);
         socket.set(zmq::sockopt::tcp_keepalive, 1);
         socket.set(zmq::sockopt::tcp_keepalive_idle, keep_alive_idle_s);
         socket.set(zmq::sockopt::tcp_keepalive_intvl, keep_alive_interval_s);
