Log and count what backend servers announce in their responses

An incident showed that a server which had announced a limit got more than it; neither logs nor metrics had the announcement. The guard now logs backend_announcement and rate_limit_unreadable, and exports jujubespan_backend_rate_limit and jujubespan_backend_leaving. Nothing is decided by them yet.

--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -5,6 +5,7 @@
 #include "jujubespan/mesh/call.hpp"
 #include "jujubespan/mesh/egress.hpp"
 #include "jujubespan/mesh/instance_directory.hpp"
+#include "jujubespan/mesh/server_announcement.hpp"
 
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
@@ -100,6 +101,8 @@
     void refuse_call(std::uint64_t id, engine::reason cause, time_point now);
     [[nodiscard]] engine::answer
     classify_response(http_response response) const;
+    void record_announcement(const pending_call& call,
+                             const http_response& response);
     void finish_call(call_map::iterator found, routed_reply reply,
                      time_point now);
     pending_call remove_call(call_map::iterator found);
@@ -117,7 +120,8 @@
     std::uint32_t published_slots_{0};
     bool leaving_{false};
     bool stopped_admitting_{false};
-    call_map calls_; // by exchange id
+    server_announcement announcement_; // of the latest response
+    call_map calls_;                   // by exchange id
     std::size_t body_bytes_{0};
     absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
 };
--- a/include/jujubespan/mesh/header_names.hpp
+++ b/include/jujubespan/mesh/header_names.hpp
@@ -20,6 +20,12 @@
     std::string not_run{"Jujubespan-Not-Run"};
     /// In a response: the backend server's signature.
     std::string signature{"Jujubespan-Signature"};
+    /// In a response: requests per second that the backend server accepts from
+    /// all senders together, as a decimal number. In force while its responses
+    /// have it.
+    std::string rate_limit{"Jujubespan-Rate-Limit"};
+    /// In a response: the backend server is about to stop.
+    std::string leaving{"Jujubespan-Leaving"};
 };
 
 } // namespace jujubespan::mesh
--- a/include/jujubespan/mesh/mesh_metrics.hpp
+++ b/include/jujubespan/mesh/mesh_metrics.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace jujubespan::mesh
@@ -35,6 +36,9 @@
     std::uint64_t clients_disconnected{0};
     std::uint64_t late_replies{0};
     std::uint64_t backend_starts{0};
+    /// Requests per second announced by the own backend server.
+    std::optional<double> backend_rate_limit;
+    bool backend_leaving{false}; ///< Announced by the own backend server.
 };
 
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -60,6 +60,11 @@
     return status >= first && status <= last;
 }
 
+std::string to_text(const std::optional<double>& rate_limit)
+{
+    return rate_limit ? fmt::format("{:.1f}", *rate_limit) : "none";
+}
+
 bool may_succeed_elsewhere(reason cause)
 {
     return cause != reason::deadline && cause != reason::cancelled;
@@ -283,6 +288,36 @@
     return backend_answer;
 }
 
+void guard::record_announcement(const pending_call& call,
+                                const http_response& response)
+{
+    if (response.status == misdirected) // Sent by another backend server.
+    {
+        return;
+    }
+    const auto latest = read_announcement(response.headers, options_.names);
+    if (latest.rate_limit_unreadable)
+    {
+        log(log_level::warn, "rate_limit_unreadable",
+            "request={} instance={} value=\"{}\"", call.message.request_id,
+            call.message.instance,
+            find_header(response.headers, options_.names.rate_limit));
+        return;
+    }
+    if (latest.rate_limit != announcement_.rate_limit ||
+        latest.leaving != announcement_.leaving)
+    {
+        log(log_level::info, "backend_announcement",
+            "request={} instance={} rate_limit={} before={} leaving={}",
+            call.message.request_id, call.message.instance,
+            to_text(latest.rate_limit), to_text(announcement_.rate_limit),
+            latest.leaving);
+    }
+    announcement_ = latest;
+    shared_.metrics.backend_rate_limit = latest.rate_limit;
+    shared_.metrics.backend_leaving = latest.leaving;
+}
+
 void guard::on_backend_exchange_end(std::uint64_t id, engine::backend_end end,
                                     http_response response, time_point now)
 {
@@ -296,6 +331,7 @@
     switch (end)
     {
     case engine::backend_end::answered:
+        record_announcement(found->second, response);
         reply.answer = classify_response(std::move(response));
         break;
     case engine::backend_end::unreachable:
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -127,6 +127,16 @@
               traffic.guard_load.in_flight);
     add_gauge(out, "jujubespan_limit", "Concurrency limit of the guard.",
               traffic.guard_load.limit);
+    if (counts.backend_rate_limit)
+    {
+        add_gauge(out, "jujubespan_backend_rate_limit",
+                  "Requests per second announced by the own backend server; "
+                  "absent without a limit.",
+                  *counts.backend_rate_limit);
+    }
+    add_gauge(out, "jujubespan_backend_leaving",
+              "1 once the own backend server has announced that it stops.",
+              counts.backend_leaving ? 1 : 0);
     add_gauge(out, "jujubespan_client_buffered_bytes",
               "Bytes of unanswered requests of clients.",
               static_cast<double>(traffic.client_buffered_bytes));
