--- /dev/null
+++ b/src/jujubespan/mesh/fleet_testing.hpp
@@ -0,0 +1,396 @@
+#ifndef JUJUBESPAN_MESH_FLEET_TESTING_HPP
+#define JUJUBESPAN_MESH_FLEET_TESTING_HPP
+
+#include "jujubespan/mesh/egress.hpp"
+#include "jujubespan/mesh/guard.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jujubespan::mesh::testing
+{
+
+/// @brief Simulated nodes of one service, each with an egress, a guard and a
+/// backend server, which exchange messages in virtual time.
+class simulated_fleet
+{
+public:
+    /// @brief A request that reached a backend server.
+    struct arrival
+    {
+        time_point at;
+        std::size_t server{0};
+    };
+
+    /// @brief Behaviour of a backend server.
+    struct server
+    {
+        std::optional<std::string> rate_limit; ///< Header value.
+        bool leaving{false};                   ///< Sends the header.
+        bool listed{true};
+        std::uint64_t incarnation{1};
+    };
+
+    /// @brief Outcomes of the requests of clients.
+    struct counts
+    {
+        std::size_t answered{0};
+        std::size_t refused{0};
+        std::size_t failed{0};
+    };
+
+    explicit simulated_fleet(std::size_t node_count) : servers(node_count)
+    {
+        for (std::size_t i = 0; i < node_count; ++i)
+        {
+            nodes_.push_back(std::make_unique<node>(*this, i));
+        }
+        publish_instances();
+    }
+
+    /// @brief Sends requests at a rate to all nodes in turn while time passes.
+    counts run(duration time, double requests_per_second)
+    {
+        const counts before = counts_;
+        const time_point until = now_ + time;
+        while (now_ < until)
+        {
+            now_ += step;
+            requests_due_ += requests_per_second * seconds(step);
+            for (; requests_due_ >= 1; requests_due_ -= 1)
+            {
+                send_request();
+            }
+            run_events();
+            if (now_ >= next_tick_)
+            {
+                next_tick_ = now_ + tick_interval;
+                for (auto& item : nodes_)
+                {
+                    item->guard.on_tick(now_);
+                    item->egress.on_tick(now_);
+                }
+            }
+        }
+        return {counts_.answered - before.answered,
+                counts_.refused - before.refused,
+                counts_.failed - before.failed};
+    }
+
+    /// @brief Replaces the process of a node. Its backend server goes on.
+    void restart_node(std::size_t index)
+    {
+        nodes_[index] = std::make_unique<node>(*this, index);
+        nodes_[index]->apply(make_directory());
+    }
+
+    /// @brief Publishes the instance list to all nodes.
+    void publish_instances()
+    {
+        const auto directory = make_directory();
+        for (auto& item : nodes_)
+        {
+            item->apply(directory);
+        }
+    }
+
+    [[nodiscard]] time_point now() const { return now_; }
+
+    [[nodiscard]] std::size_t arrivals_between(std::size_t server,
+                                               time_point since,
+                                               time_point until) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(arrivals_.begin(), arrivals_.end(),
+                          [&](const arrival& item) {
+                              return item.server == server &&
+                                     item.at >= since && item.at < until;
+                          }));
+    }
+
+    /// @brief Largest number of arrivals at a server within any window that
+    /// begins at `since` or later.
+    [[nodiscard]] std::size_t most_arrivals(std::size_t server, duration window,
+                                            time_point since) const
+    {
+        std::size_t most = 0;
+        for (const auto& item : arrivals_)
+        {
+            if (item.server == server && item.at >= since)
+            {
+                most = std::max(
+                    most, arrivals_between(server, item.at, item.at + window));
+            }
+        }
+        return most;
+    }
+
+    std::vector<server> servers;
+
+private:
+    static constexpr duration step = std::chrono::milliseconds(1);
+    static constexpr duration tick_interval = std::chrono::milliseconds(20);
+    static constexpr duration hop_time = std::chrono::milliseconds(1);
+    static constexpr duration service_time = std::chrono::milliseconds(100);
+    static constexpr std::uint32_t slots = 50;
+
+    // Events of a replaced process are dropped: they hold its weak pointer.
+    struct process
+    {
+    };
+
+    class node final : public client_port,
+                       public routed_call_port,
+                       public routed_reply_port,
+                       public engine::backend_port
+    {
+    public:
+        node(simulated_fleet& owner, std::size_t own_index)
+            : fleet(owner), index(own_index),
+              guard(guard_options_of(own_index), shared, *this, *this,
+                    owner.now_),
+              egress({"s", "zone-a", {}}, shared, *this, *this, own_index + 1)
+        {
+            route value;
+            value.name = "read";
+            value.host = "shop.example";
+            value.prefix = "/";
+            value.kind = request_kind::idempotent;
+            value.timeout = std::chrono::milliseconds(800);
+            value.objective = std::chrono::seconds(1);
+            value.max_attempts = 2;
+            value.targets = {{"s", 1}};
+            auto next = std::make_shared<configuration>();
+            next->version = 1;
+            next->routes = {value};
+            egress.apply(std::move(next));
+        }
+
+        static guard_options guard_options_of(std::size_t own_index)
+        {
+            guard_options value;
+            value.service = "s";
+            value.backend_address = backend_address_of(own_index);
+            value.fleet_starting = true;
+            return value;
+        }
+
+        void apply(const instance_directory& next)
+        {
+            directory = next;
+            guard.apply(directory, fleet.now_);
+            egress.apply(directory, fleet.now_);
+        }
+
+        void respond(std::uint64_t /*exchange*/,
+                     const http_response& response) override
+        {
+            constexpr unsigned refused = 503;
+            constexpr unsigned first_failure = 500;
+            auto& result = fleet.counts_;
+            ++(response.status == refused         ? result.refused
+               : response.status >= first_failure ? result.failed
+                                                  : result.answered);
+        }
+
+        bool send_call(std::string_view peer, const routed_call& call,
+                       time_point /*now*/) override
+        {
+            const auto target = index_of(peer);
+            const auto exchange = fleet.next_exchange_++;
+            fleet.schedule(*this, hop_time,
+                           [this, target, exchange, call]
+                           {
+                               auto& receiver = *fleet.nodes_[target];
+                               receiver.senders[exchange] = {index, call.id};
+                               receiver.guard.on_call(exchange, call,
+                                                      fleet.now_);
+                           });
+            return true;
+        }
+
+        void cancel(std::string_view peer, std::uint64_t call,
+                    time_point /*now*/) override
+        {
+            const auto target = index_of(peer);
+            fleet.schedule(*this, hop_time,
+                           [this, target, call]
+                           { fleet.nodes_[target]->cancel_from(index, call); });
+        }
+
+        void cancel_from(std::size_t sender, std::uint64_t call)
+        {
+            for (const auto& [exchange, origin] : senders)
+            {
+                if (origin == std::pair(sender, call))
+                {
+                    const auto id = exchange;
+                    senders.erase(id);
+                    guard.on_cancelled(id, fleet.now_);
+                    return;
+                }
+            }
+        }
+
+        void send_reply(std::uint64_t exchange,
+                        const routed_reply& reply) override
+        {
+            const auto found = senders.find(exchange);
+            if (found == senders.end())
+            {
+                return;
+            }
+            const auto [sender, call] = found->second;
+            senders.erase(found);
+            fleet.schedule(*this, hop_time,
+                           [this, sender = sender, call = call, reply] {
+                               fleet.nodes_[sender]->egress.on_reply(
+                                   call, reply, fleet.now_);
+                           });
+        }
+
+        void start(std::uint64_t call, const http_request& request) override
+        {
+            fleet.arrivals_.push_back({fleet.now_, index});
+            running.insert(call);
+            const auto id =
+                std::string(find_header(request.headers, names.request_id));
+            fleet.schedule(*this, service_time,
+                           [this, call, id] { finish(call, id); });
+        }
+
+        void cancel(std::uint64_t call) override { running.erase(call); }
+
+        void finish(std::uint64_t call, const std::string& id)
+        {
+            if (running.erase(call) == 0)
+            {
+                return;
+            }
+            const auto& state = fleet.servers[index];
+            http_response response{
+                200, {{names.signature, "x"}, {names.request_id, id}}, "body"};
+            if (state.rate_limit)
+            {
+                response.headers.push_back(
+                    {names.rate_limit, *state.rate_limit});
+            }
+            if (state.leaving)
+            {
+                response.headers.push_back({names.leaving, "1"});
+            }
+            guard.on_backend_exchange_end(call, engine::backend_end::answered,
+                                          std::move(response), fleet.now_);
+        }
+
+        simulated_fleet& fleet;
+        std::size_t index;
+        std::shared_ptr<process> alive{std::make_shared<process>()};
+        header_names names;
+        mesh_state shared;
+        instance_directory directory;
+        mesh::guard guard;
+        mesh::egress egress;
+        // Sending node and call, by exchange of the guard.
+        std::map<std::uint64_t, std::pair<std::size_t, std::uint64_t>> senders;
+        std::set<std::uint64_t> running; // at the backend server
+    };
+
+    static std::string backend_address_of(std::size_t index)
+    {
+        return "10.0.0." + std::to_string(index) + ":8080";
+    }
+
+    static std::string call_address_of(std::size_t index)
+    {
+        return "node-" + std::to_string(index);
+    }
+
+    static std::size_t index_of(std::string_view call_address)
+    {
+        constexpr std::size_t prefix_length = 5;
+        return std::stoul(std::string(call_address.substr(prefix_length)));
+    }
+
+    [[nodiscard]] instance_directory make_directory()
+    {
+        instance_directory directory;
+        for (std::size_t i = 0; i < servers.size(); ++i)
+        {
+            if (!servers[i].listed)
+            {
+                continue;
+            }
+            instance item;
+            item.id = "i-" + std::to_string(i);
+            item.service = "s";
+            item.failure_domain = "zone-a";
+            item.call_address = call_address_of(i);
+            item.backend_address = backend_address_of(i);
+            item.slots = slots;
+            item.incarnation = servers[i].incarnation;
+            directory.put(item);
+        }
+        return directory;
+    }
+
+    void send_request()
+    {
+        const auto number = next_request_++;
+        http_request message;
+        message.method = "GET";
+        message.target = "/1";
+        const header_names names;
+        message.headers = {{"Host", "shop.example"},
+                           {names.request_id, "id-" + std::to_string(number)},
+                           {names.deadline, "5000"}};
+        nodes_[number % nodes_.size()]->egress.on_request(
+            number, std::move(message), now_);
+    }
+
+    void schedule(const node& sender, duration delay,
+                  std::function<void()> action)
+    {
+        events_.emplace(
+            now_ + delay,
+            [alive = std::weak_ptr(sender.alive), action = std::move(action)]
+            {
+                if (!alive.expired())
+                {
+                    action();
+                }
+            });
+    }
+
+    void run_events()
+    {
+        while (!events_.empty() && events_.begin()->first <= now_)
+        {
+            const auto action = std::move(events_.begin()->second);
+            events_.erase(events_.begin());
+            action();
+        }
+    }
+
+    time_point now_{std::chrono::seconds(1000)};
+    time_point next_tick_{};
+    double requests_due_{0};
+    std::multimap<time_point, std::function<void()>> events_;
+    std::vector<std::unique_ptr<node>> nodes_;
+    std::vector<arrival> arrivals_;
+    counts counts_;
+    std::uint64_t next_request_{1};
+    std::uint64_t next_exchange_{1};
+};
+
+} // namespace jujubespan::mesh::testing
+
+#endif
