Keep to the rate limit that a backend server announces

Cause: no node read the announcement.

The guard passes every request to its server, so it is the one place where the sum over all nodes is known. It now paces starts to the announced rate, queues at most what starts within the queue wait and refuses the rest as not run. Replies carry the limit, so callers prefer other servers while there are any, and the load they report is relative to what the rate allows, so that admission at the entry sees the lost capacity. Calls carry the limit back: a guard that restarts under load keeps to it from its first call on. Nodes of the version before understand the refusals.

--- a/include/jujubespan/engine/admission_gate.hpp
+++ b/include/jujubespan/engine/admission_gate.hpp
@@ -4,6 +4,7 @@
 #include "jujubespan/policy/admission_level.hpp"
 #include "jujubespan/policy/admission_queue.hpp"
 #include "jujubespan/policy/concurrency_limit.hpp"
+#include "jujubespan/policy/start_pacer.hpp"
 #include "jujubespan/policy/time.hpp"
 
 #include <cstdint>
@@ -72,6 +73,24 @@
         limit_ = std::move(limit);
     }
 
+    /// @brief Sets a limit of the calls started per second, beside the
+    /// concurrency limit; nothing: no limit. The queue then holds no more than
+    /// starts within the target wait.
+    /// @return ids of the calls removed from the queue.
+    std::vector<std::uint64_t> set_start_rate(std::optional<double> rate,
+                                              time_point now);
+
+    /// @brief True while the start rate, and not the concurrency limit, keeps
+    /// calls from starting.
+    [[nodiscard]] bool is_paced(time_point now) const
+    {
+        return running_ < limit(now) && !pacer_.may_start(now);
+    }
+
+    /// @brief Number of calls in progress that the limits allow on average: the
+    /// concurrency limit, or less if the start rate does not reach it.
+    [[nodiscard]] std::uint32_t usable_concurrency(time_point now) const;
+
     /// @brief Removes a queued call.
     bool remove(std::uint64_t id) { return queue_.remove(id); }
 
@@ -88,11 +107,15 @@
     [[nodiscard]] std::uint32_t limit(time_point now) const;
 
 private:
+    [[nodiscard]] bool may_start(time_point now) const;
     void record_start(time_point now);
     void accumulate_busy_time(time_point now);
     void update_mean_occupancy();
 
     std::unique_ptr<concurrency_limit> limit_;
+    start_pacer pacer_;
+    duration queue_wait_;
+    std::size_t max_queue_;
     admission_queue queue_;
     shed_controller controller_;
     std::uint32_t running_{0};
--- a/include/jujubespan/engine/answer.hpp
+++ b/include/jujubespan/engine/answer.hpp
@@ -64,7 +64,8 @@
     invalid_answer,  ///< The answer could not be verified to be complete.
     timeout,         ///< The timeout of the route expired.
     retry_budget,    ///< The retry budget of the service is exhausted.
-    last = retry_budget
+    rate_limit,      ///< The backend server announced a rate limit.
+    last = rate_limit
 };
 
 std::string_view to_string(outcome value);
--- a/include/jujubespan/mesh/attempt_outcome.hpp
+++ b/include/jujubespan/mesh/attempt_outcome.hpp
@@ -11,6 +11,7 @@
 {
     success,
     overloaded,  ///< Its node or backend server had no free slot.
+    paced,       ///< The rate limit of its backend server is used up.
     rejected,    ///< Its backend server refused it despite free slots.
     failed,      ///< It may have run, but there is no usable response.
     unreachable, ///< Its node or backend server cannot be reached.
--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -9,6 +9,7 @@
 #include "jujubespan/policy/upstream_set.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <span>
@@ -54,6 +55,13 @@
 
     void on_load(std::string_view id, upstream_load load, time_point now);
 
+    /// @brief Records the rate limit of an instance, in requests per second;
+    /// nothing: it has none.
+    /// @return true when it has changed.
+    bool on_rate_limit(std::string_view id, std::optional<double> rate_limit);
+
+    [[nodiscard]] std::optional<double> rate_limit(std::string_view id) const;
+
     /// @brief The node of an instance announced that it is stopping.
     void on_leaving(std::string_view id, time_point now);
 
@@ -79,9 +87,15 @@
         time_point avoid_until{};
         time_point leaving_until{};
         time_point next_probe_at{};
+        std::optional<double> rate_limit;
+        time_point paced_until{}; // Refused a call for its rate limit.
     };
 
     member* find(std::string_view id);
+    [[nodiscard]] const member* find(std::string_view id) const;
+    /// @brief Removes the members that match, unless all do.
+    static void prefer_without(std::vector<member*>& pool,
+                               const std::function<bool(const member&)>& match);
     [[nodiscard]] static double failure_rate_of(const member& m,
                                                 time_point now);
     [[nodiscard]] static double load_of(const member& m, time_point now);
--- a/include/jujubespan/mesh/call.hpp
+++ b/include/jujubespan/mesh/call.hpp
@@ -11,6 +11,7 @@
 #include "jujubespan/policy/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,9 @@
     bool prioritized{false};
     bool client_request{false}; ///< Not made by a running request.
     retry_cause retry{retry_cause::none};
+    /// Rate limit of the instance that the sender has last heard of, in
+    /// requests per second; nothing without a limit.
+    std::optional<double> known_rate_limit;
     http_request request;
 };
 
@@ -43,6 +47,9 @@
 {
     engine::answer answer;
     bool reached_backend{false}; ///< The backend server received the request.
+    /// Requests per second that the backend server accepts from all nodes
+    /// together; nothing without a limit.
+    std::optional<double> rate_limit;
     /// Time spent in the queue and at the backend server.
     duration residence_time{};
     /// Costs at this service and the services that it called.
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESPAN_MESH_GUARD_HPP
 
 #include "jujubespan/engine/admission_gate.hpp"
+#include "jujubespan/mesh/announced_limit.hpp"
 #include "jujubespan/mesh/call.hpp"
 #include "jujubespan/mesh/egress.hpp"
 #include "jujubespan/mesh/instance_directory.hpp"
@@ -102,7 +103,10 @@
     [[nodiscard]] engine::answer
     classify_response(http_response response) const;
     void record_announcement(const pending_call& call,
-                             const http_response& response);
+                             const http_response& response, time_point now);
+    void record_known_limit(const routed_call& call, time_point now);
+    void apply_rate_limit(time_point now);
+    [[nodiscard]] engine::reason full_queue_reason(time_point now) const;
     void finish_call(call_map::iterator found, routed_reply reply,
                      time_point now);
     pending_call remove_call(call_map::iterator found);
@@ -120,8 +124,9 @@
     std::uint32_t published_slots_{0};
     bool leaving_{false};
     bool stopped_admitting_{false};
-    server_announcement announcement_; // of the latest response
-    call_map calls_;                   // by exchange id
+    server_announcement announcement_; // of the latest readable response
+    announced_limit rate_limit_;
+    call_map calls_; // by exchange id
     std::size_t body_bytes_{0};
     absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
 };
--- a/include/jujubespan/mesh/server_announcement.hpp
+++ b/include/jujubespan/mesh/server_announcement.hpp
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <span>
+#include <string>
 
 namespace jujubespan::mesh
 {
@@ -24,6 +25,9 @@
 server_announcement read_announcement(std::span<const http_header> headers,
                                       const header_names& names);
 
+/// @brief Text of a rate limit for logs.
+std::string rate_limit_text(const std::optional<double>& rate_limit);
+
 } // namespace jujubespan::mesh
 
 #endif
--- a/include/jujubespan/policy/admission_queue.hpp
+++ b/include/jujubespan/policy/admission_queue.hpp
@@ -63,6 +63,11 @@
     /// @brief Removes calls that cannot finish before their deadline.
     std::vector<std::uint64_t> take_expired(time_point now);
 
+    /// @brief Sets the maximum number of queued calls at any rate.
+    /// @return ids of the calls removed because they exceed it, lowest priority
+    /// first.
+    std::vector<std::uint64_t> set_hard_limit(std::size_t hard_limit);
+
     /// @brief Removes a call; returns false when it is not queued.
     bool remove(std::uint64_t id);
 
--- a/src/jujubespan/engine/admission_gate.cpp
+++ b/src/jujubespan/engine/admission_gate.cpp
@@ -1,6 +1,7 @@
 #include "jujubespan/engine/admission_gate.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace jujubespan::engine
@@ -16,7 +17,8 @@
 
 admission_gate::admission_gate(std::unique_ptr<concurrency_limit> limit,
                                duration queue_wait, std::size_t max_queue)
-    : limit_(std::move(limit)), queue_(queue_wait, max_queue)
+    : limit_(std::move(limit)), queue_wait_(queue_wait), max_queue_(max_queue),
+      queue_(queue_wait, max_queue)
 {
 }
 
@@ -26,6 +28,37 @@
                   : std::numeric_limits<std::uint32_t>::max();
 }
 
+std::uint32_t admission_gate::usable_concurrency(time_point now) const
+{
+    const auto slots = limit(now);
+    if (!pacer_.rate() || mean_occupancy_seconds_ == 0)
+    {
+        return slots;
+    }
+    // Little's law.
+    const double calls =
+        std::max(1.0, std::ceil(*pacer_.rate() * mean_occupancy_seconds_));
+    return calls < slots ? static_cast<std::uint32_t>(calls) : slots;
+}
+
+bool admission_gate::may_start(time_point now) const
+{
+    return running_ < limit(now) && pacer_.may_start(now);
+}
+
+std::vector<std::uint64_t>
+admission_gate::set_start_rate(std::optional<double> rate, time_point now)
+{
+    pacer_.set_rate(rate, now);
+    if (!rate)
+    {
+        return queue_.set_hard_limit(max_queue_);
+    }
+    const double starts = *rate * seconds(queue_wait_);
+    return queue_.set_hard_limit(std::clamp<std::size_t>(
+        static_cast<std::size_t>(starts), 1, max_queue_));
+}
+
 void admission_gate::accumulate_busy_time(time_point now)
 {
     if (busy_time_counted_until_ != time_point{})
@@ -40,6 +73,7 @@
 {
     accumulate_busy_time(now);
     ++running_;
+    pacer_.on_start(now);
     if (limit_)
     {
         limit_->on_start(running_, now);
@@ -50,7 +84,7 @@
 {
     controller_.on_offered(call.key);
     gate_result result;
-    if (running_ < limit(now) && queue_.empty())
+    if (may_start(now) && queue_.empty())
     {
         record_start(now);
         result.verdict = gate_verdict::run;
@@ -107,7 +141,7 @@
 dequeued_calls admission_gate::dequeue_ready(time_point now)
 {
     dequeued_calls result;
-    while (running_ < limit(now))
+    while (may_start(now))
     {
         const auto call = queue_.pop(now, result.expired);
         if (!call)
--- a/src/jujubespan/engine/answer.cpp
+++ b/src/jujubespan/engine/answer.cpp
@@ -49,6 +49,7 @@
     "invalid-answer",
     "timeout",
     "retry-budget",
+    "rate-limit",
 });
 static_assert(reason_names.size() ==
               static_cast<std::size_t>(reason::last) + 1);
--- a/src/jujubespan/mesh/attempt_outcome.cpp
+++ b/src/jujubespan/mesh/attempt_outcome.cpp
@@ -37,6 +37,8 @@
     case reason::wrong_instance: // Until discovery lists the new instance.
     case reason::leaving:
         return attempt_outcome::unreachable;
+    case reason::rate_limit:
+        return attempt_outcome::paced;
     case reason::backend_refused:
     {
         const auto& load = answer.load;
--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace jujubespan::mesh
 {
@@ -31,6 +32,9 @@
 // Time without attempts after an instance's node announced that it is
 // stopping. The node has restarted or left the list by then.
 constexpr duration leaving_lifetime = std::chrono::seconds(8);
+// Time for which an instance that refused a call for its rate limit is used
+// only if all others are full as well; longer if its limit allows fewer starts.
+constexpr duration min_pacing_time = std::chrono::milliseconds(100);
 // An instance is likely cut off or frozen when it has at least
 // min_unanswered_calls open and has sent no reply for
 // unresponsive_latency_factor times its usual latency, and for at least
@@ -245,19 +249,25 @@
     pool.resize(std::min(pool.size(), candidate_count));
 }
 
+void balancer::prefer_without(std::vector<member*>& pool,
+                              const std::function<bool(const member&)>& match)
+{
+    const auto matches = [&match](const member* m) { return match(*m); };
+    if (!std::all_of(pool.begin(), pool.end(), matches))
+    {
+        std::erase_if(pool, matches);
+    }
+}
+
 std::optional<std::string> balancer::pick(std::span<const std::string> exclude,
                                           std::mt19937_64& random,
                                           time_point now)
 {
     auto pool = usable_members(exclude, now);
-    const bool all_unresponsive = std::all_of(
-        pool.begin(), pool.end(),
-        [now](const member* m) { return is_unresponsive(*m, now); });
-    if (!all_unresponsive)
-    {
-        std::erase_if(pool, [now](const member* m)
-                      { return is_unresponsive(*m, now); });
-    }
+    prefer_without(pool,
+                   [now](const member& m) { return is_unresponsive(m, now); });
+    prefer_without(pool,
+                   [now](const member& m) { return now < m.paced_until; });
     if (const auto* probed = probe_or_drop_outliers(pool, now))
     {
         return probed->info.id;
@@ -319,6 +329,12 @@
     }
     m->unreachable_count = 0;
     m->last_reply_at = now;
+    if (outcome == attempt_outcome::paced)
+    {
+        const double interval = 1 / std::max(m->rate_limit.value_or(1), 1.0);
+        m->paced_until =
+            now + std::max(min_pacing_time, from_seconds(interval));
+    }
     const bool failed = outcome == attempt_outcome::failed ||
                         outcome == attempt_outcome::rejected;
     const double before = failure_rate_of(*m, now);
@@ -342,6 +358,25 @@
     }
 }
 
+bool balancer::on_rate_limit(std::string_view id,
+                             std::optional<double> rate_limit)
+{
+    member* m = find(id);
+    if (m == nullptr || m->rate_limit == rate_limit)
+    {
+        return false;
+    }
+    m->rate_limit = rate_limit;
+    m->paced_until = {};
+    return true;
+}
+
+std::optional<double> balancer::rate_limit(std::string_view id) const
+{
+    const member* m = find(id);
+    return m == nullptr ? std::nullopt : m->rate_limit;
+}
+
 void balancer::on_leaving(std::string_view id, time_point now)
 {
     if (member* m = find(id))
@@ -350,7 +385,7 @@
     }
 }
 
-balancer::member* balancer::find(std::string_view id)
+const balancer::member* balancer::find(std::string_view id) const
 {
     const auto found =
         std::find_if(members_.begin(), members_.end(),
@@ -358,4 +393,9 @@
     return found == members_.end() ? nullptr : &*found;
 }
 
+balancer::member* balancer::find(std::string_view id)
+{
+    return const_cast<member*>(std::as_const(*this).find(id));
+}
+
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/balancer_test.cpp
+++ b/src/jujubespan/mesh/balancer_test.cpp
@@ -276,5 +276,22 @@
     EXPECT_LT(send(150, {}, latencies)["b"], 15);
 }
 
+// Guards against a service being refused requests while its servers in need
+// could take them: an instance that refused for its rate limit is avoided, but
+// not when all others do so too.
+TEST_F(balancer_test, instance_whose_rate_limit_is_used_up_is_the_last_choice)
+{
+    target.on_rate_limit("a", 20);
+    target.on_attempt_end("a", attempt_outcome::paced, {}, now);
+    for (int i = 0; i < 20; ++i)
+    {
+        EXPECT_NE(target.pick({}, random, now), "a");
+    }
+    const std::vector<std::string> others{"b", "c"};
+    EXPECT_EQ(target.pick(others, random, now), "a");
+    now += 1s;
+    EXPECT_GT(send(200)["a"], 0);
+}
+
 } // namespace
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -4,6 +4,7 @@
 
 #include "jujubespan/engine/http_mapping.hpp"
 #include "jujubespan/mesh/attempt_outcome.hpp"
+#include "jujubespan/mesh/server_announcement.hpp"
 #include "jujubespan/metrics/log.hpp"
 
 #include <algorithm>
@@ -236,6 +237,7 @@
     call.peer = call_addresses_[*chosen];
     call.message.id = next_id_++;
     call.message.instance = *chosen;
+    call.message.known_rate_limit = service_balancer.rate_limit(*chosen);
     ++shared_.metrics.attempts;
     service_balancer.on_attempt_start(*chosen, now);
     if (peers_.send_call(call.peer, call.message, now))
@@ -280,6 +282,13 @@
     if (reply.answer.load.limit > 0)
     {
         service_balancer.on_load(call.instance, reply.answer.load, now);
+        if (service_balancer.on_rate_limit(call.instance, reply.rate_limit))
+        {
+            log(log_level::info, "instance_rate_limit",
+                "request={} instance={} service={} rate_limit={}",
+                call.message.request_id, call.instance, call.message.service,
+                rate_limit_text(reply.rate_limit));
+        }
     }
     if (reply.answer.leaving)
     {
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -60,11 +60,6 @@
     return status >= first && status <= last;
 }
 
-std::string to_text(const std::optional<double>& rate_limit)
-{
-    return rate_limit ? fmt::format("{:.1f}", *rate_limit) : "none";
-}
-
 bool may_succeed_elsewhere(reason cause)
 {
     return cause != reason::deadline && cause != reason::cancelled;
@@ -143,6 +138,7 @@
 
 void guard::on_call(std::uint64_t exchange, routed_call call, time_point now)
 {
+    record_known_limit(call, now);
     auto cause = reason_to_refuse(call, now);
     if (!cause && !spend_retry_budget(call, now))
     {
@@ -170,7 +166,7 @@
     const auto result = gate_.offer(offered, now);
     if (result.evicted)
     {
-        refuse_call(*result.evicted, reason::queue_full, now);
+        refuse_call(*result.evicted, full_queue_reason(now), now);
     }
     switch (result.verdict)
     {
@@ -180,7 +176,7 @@
     case engine::gate_verdict::queued:
         return;
     case engine::gate_verdict::refused:
-        refuse_call(exchange, reason::queue_full, now);
+        refuse_call(exchange, full_queue_reason(now), now);
         return;
     }
 }
@@ -289,7 +285,7 @@
 }
 
 void guard::record_announcement(const pending_call& call,
-                                const http_response& response)
+                                const http_response& response, time_point now)
 {
     if (response.status == misdirected) // Sent by another backend server.
     {
@@ -310,12 +306,46 @@
         log(log_level::info, "backend_announcement",
             "request={} instance={} rate_limit={} before={} leaving={}",
             call.message.request_id, call.message.instance,
-            to_text(latest.rate_limit), to_text(announcement_.rate_limit),
-            latest.leaving);
+            rate_limit_text(latest.rate_limit),
+            rate_limit_text(announcement_.rate_limit), latest.leaving);
     }
     announcement_ = latest;
-    shared_.metrics.backend_rate_limit = latest.rate_limit;
     shared_.metrics.backend_leaving = latest.leaving;
+    rate_limit_.on_response(latest, now);
+    apply_rate_limit(now);
+}
+
+void guard::record_known_limit(const routed_call& call, time_point now)
+{
+    if (!call.known_rate_limit || call.service != options_.service)
+    {
+        return;
+    }
+    // The sender's list may still have an earlier instance at this address.
+    const auto* own =
+        instances_ == nullptr
+            ? nullptr
+            : instances_->find_by_backend_address(options_.backend_address);
+    if (own != nullptr && own->id != call.instance)
+    {
+        return;
+    }
+    rate_limit_.on_report(*call.known_rate_limit, now);
+    apply_rate_limit(now);
+}
+
+void guard::apply_rate_limit(time_point now)
+{
+    shared_.metrics.backend_rate_limit = rate_limit_.rate();
+    for (const auto id : gate_.set_start_rate(rate_limit_.rate(), now))
+    {
+        refuse_call(id, reason::rate_limit, now);
+    }
+}
+
+reason guard::full_queue_reason(time_point now) const
+{
+    return gate_.is_paced(now) ? reason::rate_limit : reason::queue_full;
 }
 
 void guard::on_backend_exchange_end(std::uint64_t id, engine::backend_end end,
@@ -331,7 +361,7 @@
     switch (end)
     {
     case engine::backend_end::answered:
-        record_announcement(found->second, response);
+        record_announcement(found->second, response, now);
         reply.answer = classify_response(std::move(response));
         break;
     case engine::backend_end::unreachable:
@@ -414,6 +444,7 @@
 {
     reply.answer.load = load(now);
     reply.answer.leaving = leaving_;
+    reply.rate_limit = rate_limit_.rate();
     reply.pressures = shared_.admission.downstream_pressures(now);
     replies_.send_reply(exchange, reply);
 }
@@ -464,7 +495,8 @@
 upstream_load guard::load(time_point now) const
 {
     return {gate_.running() + static_cast<std::uint32_t>(gate_.queued()),
-            options_.protection ? gate_.limit(now) : published_slots_};
+            options_.protection ? gate_.usable_concurrency(now)
+                                : published_slots_};
 }
 
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/server_announcement.cpp
+++ b/src/jujubespan/mesh/server_announcement.cpp
@@ -1,5 +1,7 @@
 #include "jujubespan/mesh/server_announcement.hpp"
 
+#include <fmt/format.h>
+
 #include <charconv>
 #include <cmath>
 #include <string_view>
@@ -42,4 +44,9 @@
     return result;
 }
 
+std::string rate_limit_text(const std::optional<double>& rate_limit)
+{
+    return rate_limit ? fmt::format("{:.1f}", *rate_limit) : "none";
+}
+
 } // namespace jujubespan::mesh
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -3,6 +3,7 @@
 #include "jujubespan/peer/peer.pb.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jujubespan::peer
 {
@@ -176,6 +177,12 @@
 namespace
 {
 
+std::optional<double> valid_rate_limit(double value)
+{
+    return std::isfinite(value) && value >= 0 ? std::optional(value)
+                                              : std::nullopt;
+}
+
 // An unknown cause, sent by a newer node, is charged like the retry of an
 // attempt.
 mesh::retry_cause decode_retry_cause(v1::RepeatCause wire_cause)
@@ -207,6 +214,10 @@
     out.set_under_way(call.prioritized);
     out.set_client_request(call.client_request);
     out.set_repeat(static_cast<v1::RepeatCause>(call.retry));
+    if (call.known_rate_limit)
+    {
+        out.set_known_rate_limit(*call.known_rate_limit);
+    }
     out.set_method(call.request.method);
     out.set_target(call.request.target);
     encode_headers(call.request.headers, out);
@@ -235,6 +246,10 @@
     call.prioritized = in.under_way();
     call.client_request = in.client_request();
     call.retry = decode_retry_cause(in.repeat());
+    if (in.has_known_rate_limit())
+    {
+        call.known_rate_limit = valid_rate_limit(in.known_rate_limit());
+    }
     call.request.method = in.method();
     call.request.target = in.target();
     call.request.headers = decode_headers(in);
@@ -245,7 +260,17 @@
 void encode(const mesh::routed_reply& reply, v1::Reply& out)
 {
     encode(reply.answer, out);
+    if (reply.answer.reason == engine::reason::rate_limit)
+    {
+        // Nodes that do not know the reason drop the reply. Those that know it
+        // restore it from the limit.
+        out.set_reason(static_cast<std::uint32_t>(engine::reason::queue_full));
+    }
     out.set_arrived(reply.reached_backend);
+    if (reply.rate_limit)
+    {
+        out.set_rate_limit(*reply.rate_limit);
+    }
     out.set_held_us(static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(
             reply.residence_time)
@@ -275,6 +300,14 @@
     mesh::routed_reply reply;
     reply.answer = *std::move(answer);
     reply.reached_backend = in.arrived();
+    if (in.has_rate_limit())
+    {
+        reply.rate_limit = valid_rate_limit(in.rate_limit());
+    }
+    if (reply.rate_limit && reply.answer.reason == engine::reason::queue_full)
+    {
+        reply.answer.reason = engine::reason::rate_limit;
+    }
     reply.residence_time = std::chrono::microseconds(in.held_us());
     for (const auto& item : in.costs())
     {
--- /dev/null
+++ b/src/jujubespan/peer/codec_test.cpp
@@ -0,0 +1,88 @@
+// Tests of the encoding of routed calls and replies between nodes.
+
+#include "jujubespan/peer/codec.hpp"
+
+#include "jujubespan/peer/peer.pb.h"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace jujubespan::peer
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using engine::reason;
+
+const time_point now{1000s};
+
+mesh::routed_call make_call()
+{
+    mesh::routed_call call;
+    call.id = 1;
+    call.instance = "i-1";
+    call.deadline = now + 1s;
+    call.request = {"GET", "/", {}, ""};
+    return call;
+}
+
+std::optional<mesh::routed_reply> transfer(const mesh::routed_reply& reply)
+{
+    v1::Reply message;
+    encode(reply, message);
+    return decode_routed(message);
+}
+
+TEST(peer_codec, call_carries_the_known_rate_limit)
+{
+    auto call = make_call();
+    v1::Call message;
+    encode(call, now, message);
+    EXPECT_FALSE(decode_routed(message, now)->known_rate_limit);
+    call.known_rate_limit = 0;
+    encode(call, now, message);
+    EXPECT_EQ(decode_routed(message, now)->known_rate_limit, 0);
+}
+
+TEST(peer_codec, rate_limit_that_is_no_number_is_dropped)
+{
+    v1::Call message;
+    encode(make_call(), now, message);
+    message.set_known_rate_limit(std::numeric_limits<double>::quiet_NaN());
+    EXPECT_FALSE(decode_routed(message, now)->known_rate_limit);
+    message.set_known_rate_limit(-1);
+    EXPECT_FALSE(decode_routed(message, now)->known_rate_limit);
+}
+
+// Nodes of the version before drop replies with a reason that they do not
+// know, and the call would wait for its deadline.
+TEST(peer_codec, rate_limit_refusal_is_understood_by_earlier_nodes)
+{
+    mesh::routed_reply reply;
+    reply.answer = engine::make_refusal(reason::rate_limit, true);
+    reply.rate_limit = 17.3;
+    v1::Reply message;
+    encode(reply, message);
+    EXPECT_LE(message.reason(),
+              static_cast<std::uint32_t>(reason::retry_budget));
+    const auto received = transfer(reply);
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received->answer.reason, reason::rate_limit);
+    EXPECT_EQ(received->rate_limit, 17.3);
+    EXPECT_TRUE(received->answer.elsewhere_may_help);
+}
+
+TEST(peer_codec, full_queue_without_a_rate_limit_stays_one)
+{
+    mesh::routed_reply reply;
+    reply.answer = engine::make_refusal(reason::queue_full, true);
+    const auto received = transfer(reply);
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received->answer.reason, reason::queue_full);
+    EXPECT_FALSE(received->rate_limit);
+}
+
+} // namespace
+} // namespace jujubespan::peer
--- a/src/jujubespan/policy/admission_queue.cpp
+++ b/src/jujubespan/policy/admission_queue.cpp
@@ -87,6 +87,21 @@
     return expired;
 }
 
+std::vector<std::uint64_t>
+admission_queue::set_hard_limit(std::size_t hard_limit)
+{
+    hard_limit_ = hard_limit;
+    bound_ = std::min(bound_, hard_limit_);
+    std::vector<std::uint64_t> removed;
+    while (order_.size() > hard_limit_)
+    {
+        const priority lowest = *std::prev(order_.end());
+        removed.push_back(lowest.id);
+        erase(lowest);
+    }
+    return removed;
+}
+
 bool admission_queue::remove(std::uint64_t id)
 {
     const auto found = calls_.find(id);
@@ -105,8 +120,9 @@
     service_time_ = service_time;
     const double calls_in_target_wait =
         completions_per_second * seconds(target_wait_);
-    bound_ = std::clamp(static_cast<std::size_t>(calls_in_target_wait),
-                        min_bound, hard_limit_);
+    bound_ = std::min(
+        std::max(static_cast<std::size_t>(calls_in_target_wait), min_bound),
+        hard_limit_);
 }
 
 duration admission_queue::oldest_wait(time_point now) const
