Stop using a backend server that announces that it leaves

Cause: only discovery was asked whether a server leaves.

The guard records the announcement for the lifetime of the server and refuses further calls as not run; each reply tells the caller the lifetime that leaves, so it is not used again whatever discovery lists, until a new lifetime of the id is listed. The record outlives the entry, so that an entry that vanishes and returns changes nothing.

--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -65,6 +65,11 @@
     /// @brief The node of an instance announced that it is stopping.
     void on_leaving(std::string_view id, time_point now);
 
+    /// @brief The backend server of an instance announced that it stops. The
+    /// instance is not used again in this lifetime.
+    /// @return false when it is not listed or known to be leaving.
+    bool on_backend_leaving(std::string_view id);
+
     /// @brief Ratio of the calls in progress to the concurrency limits, summed
     /// over the reachable instances with a recent load report.
     /// @return nothing when less than half of the reachable instances have
--- a/include/jujubespan/mesh/call.hpp
+++ b/include/jujubespan/mesh/call.hpp
@@ -50,6 +50,10 @@
     /// Requests per second that the backend server accepts from all nodes
     /// together; nothing without a limit.
     std::optional<double> rate_limit;
+    /// Incarnation of the instance whose backend server announced that it
+    /// stops, zero if the guard does not know it; nothing without an
+    /// announcement.
+    std::optional<std::uint64_t> leaving_incarnation;
     /// Time spent in the queue and at the backend server.
     duration residence_time{};
     /// Costs at this service and the services that it called.
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -7,6 +7,7 @@
 #include "jujubespan/mesh/entry_admission.hpp"
 #include "jujubespan/mesh/header_names.hpp"
 #include "jujubespan/mesh/instance_directory.hpp"
+#include "jujubespan/mesh/leaving_instances.hpp"
 #include "jujubespan/mesh/mesh_metrics.hpp"
 #include "jujubespan/mesh/running_calls.hpp"
 
@@ -31,6 +32,7 @@
     running_calls running;
     entry_admission admission;
     mesh_metrics metrics;
+    leaving_instances leaving;
 };
 
 /// @brief Settings of an egress.
@@ -120,6 +122,7 @@
                   time_point now);
     void record_reply(open_call& call, const routed_reply& reply,
                       time_point now);
+    void record_leaving(const open_call& call, const routed_reply& reply);
     void record_feedback(const open_call& call, const routed_reply& reply,
                          time_point now);
     void update_pressures(time_point now);
@@ -145,6 +148,7 @@
     std::optional<route_table> table_;
     string_map<balancer> balancers_;
     string_map<std::string> call_addresses_; // by instance id
+    string_map<std::uint64_t> incarnations_; // by instance id
     // Last reply to a call of the own backend server, by service.
     string_map<time_point> last_nested_call_at_;
     string_map<time_point> retries_suspended_until_; // by service
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -107,6 +107,8 @@
     void record_known_limit(const routed_call& call, time_point now);
     void apply_rate_limit(time_point now);
     [[nodiscard]] engine::reason full_queue_reason(time_point now) const;
+    [[nodiscard]] std::uint64_t incarnation_of(std::string_view id) const;
+    [[nodiscard]] bool announced_leaving(std::string_view id) const;
     void finish_call(call_map::iterator found, routed_reply reply,
                      time_point now);
     pending_call remove_call(call_map::iterator found);
--- a/include/jujubespan/mesh/instance_directory.hpp
+++ b/include/jujubespan/mesh/instance_directory.hpp
@@ -57,6 +57,9 @@
 
     [[nodiscard]] instance_state state(std::string_view id) const;
 
+    /// @brief The entry of an instance; null when none is listed.
+    [[nodiscard]] const instance* find(std::string_view id) const;
+
     /// @brief The instance whose backend server has this address; null when
     /// none has.
     [[nodiscard]] const instance*
--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -385,6 +385,17 @@
     }
 }
 
+bool balancer::on_backend_leaving(std::string_view id)
+{
+    member* m = find(id);
+    if (m == nullptr || m->info.leaving)
+    {
+        return false;
+    }
+    m->info.leaving = true;
+    return true;
+}
+
 const balancer::member* balancer::find(std::string_view id) const
 {
     const auto found =
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -72,9 +72,14 @@
 {
     string_map<std::vector<instance>> by_service;
     call_addresses_.clear();
-    const auto all = list.all();
-    for (const auto& item : all)
-    {
+    incarnations_.clear();
+    auto all = list.all();
+    for (auto& item : all)
+    {
+        shared_.leaving.on_listed(item.id, item.incarnation);
+        item.leaving =
+            item.leaving || shared_.leaving.contains(item.id, item.incarnation);
+        incarnations_[item.id] = item.incarnation;
         by_service[item.service].push_back(item);
         call_addresses_[item.id] = item.call_address;
     }
@@ -294,6 +299,7 @@
     {
         service_balancer.on_leaving(call.instance, now);
     }
+    record_leaving(call, reply);
     if (reply.answer.reason == reason::retry_budget)
     {
         retries_suspended_until_[call.message.service] = now + retry_suspension;
@@ -308,6 +314,24 @@
     record_feedback(call, reply, now);
 }
 
+void egress::record_leaving(const open_call& call, const routed_reply& reply)
+{
+    const auto listed = incarnations_.find(call.instance);
+    if (!reply.leaving_incarnation || listed == incarnations_.end())
+    {
+        return;
+    }
+    shared_.leaving.record(call.instance, *reply.leaving_incarnation);
+    if (shared_.leaving.contains(call.instance, listed->second) &&
+        balancer_of(call.message.service).on_backend_leaving(call.instance))
+    {
+        log(log_level::info, "instance_leaving",
+            "request={} instance={} service={} lifetime={}",
+            call.message.request_id, call.instance, call.message.service,
+            listed->second);
+    }
+}
+
 void egress::record_feedback(const open_call& call, const routed_reply& reply,
                              time_point now)
 {
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -114,6 +114,10 @@
     {
         return reason::deadline;
     }
+    if (announced_leaving(call.instance))
+    {
+        return reason::leaving;
+    }
     if (instances_ == nullptr)
     {
         return std::nullopt;
@@ -130,6 +134,17 @@
     return std::nullopt;
 }
 
+std::uint64_t guard::incarnation_of(std::string_view id) const
+{
+    const auto* listed = instances_ == nullptr ? nullptr : instances_->find(id);
+    return listed == nullptr ? 0 : listed->incarnation;
+}
+
+bool guard::announced_leaving(std::string_view id) const
+{
+    return shared_.leaving.contains(id, incarnation_of(id));
+}
+
 bool guard::spend_retry_budget(const routed_call& call, time_point now)
 {
     return call.retry == retry_cause::none ||
@@ -311,6 +326,11 @@
     }
     announcement_ = latest;
     shared_.metrics.backend_leaving = latest.leaving;
+    if (latest.leaving)
+    {
+        const auto& id = call.message.instance;
+        shared_.leaving.record(id, incarnation_of(id));
+    }
     rate_limit_.on_response(latest, now);
     apply_rate_limit(now);
 }
@@ -434,6 +454,11 @@
     {
         gate_.remove(id);
     }
+    const auto& instance_id = call.message.instance;
+    if (announced_leaving(instance_id))
+    {
+        reply.leaving_incarnation = shared_.leaving.incarnation(instance_id);
+    }
     ++shared_.metrics
           .guard_reasons[static_cast<std::size_t>(reply.answer.reason)];
     send_reply(id, std::move(reply), now);
--- a/src/jujubespan/mesh/instance_directory.cpp
+++ b/src/jujubespan/mesh/instance_directory.cpp
@@ -142,6 +142,12 @@
                                               : instance_state::unknown;
 }
 
+const instance* instance_directory::find(std::string_view id) const
+{
+    const auto found = instances_.find(id);
+    return found == instances_.end() ? nullptr : &found->second;
+}
+
 const instance* instance_directory::find_by_backend_address(
     std::string_view backend_address) const
 {
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -271,6 +271,10 @@
     {
         out.set_rate_limit(*reply.rate_limit);
     }
+    if (reply.leaving_incarnation)
+    {
+        out.set_leaving_incarnation(*reply.leaving_incarnation);
+    }
     out.set_held_us(static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(
             reply.residence_time)
@@ -304,6 +308,10 @@
     {
         reply.rate_limit = valid_rate_limit(in.rate_limit());
     }
+    if (in.has_leaving_incarnation())
+    {
+        reply.leaving_incarnation = in.leaving_incarnation();
+    }
     if (reply.rate_limit && reply.answer.reason == engine::reason::queue_full)
     {
         reply.answer.reason = engine::reason::rate_limit;
--- a/src/jujubespan/peer/codec_test.cpp
+++ b/src/jujubespan/peer/codec_test.cpp
@@ -74,6 +74,15 @@
     EXPECT_TRUE(received->answer.elsewhere_may_help);
 }
 
+TEST(peer_codec, reply_carries_the_incarnation_that_leaves)
+{
+    mesh::routed_reply reply;
+    reply.answer = engine::make_refusal(reason::leaving, true);
+    EXPECT_FALSE(transfer(reply)->leaving_incarnation);
+    reply.leaving_incarnation = 0;
+    EXPECT_EQ(transfer(reply)->leaving_incarnation, 0U);
+}
+
 TEST(peer_codec, full_queue_without_a_rate_limit_stays_one)
 {
     mesh::routed_reply reply;
