Bound what a response without end can take

A server in trouble may send bytes without end, in a head or a body. Six of eleven such streams were received until the deadline of the call, up to 930 MB in 3 s in the test (trailers): interim responses, chunk sizes, chunk extensions, trailers (lines and one line) and responses to earlier requests. The parser has no limit for parts that it takes only as a whole, and nothing counted responses that are skipped.

An unparsed part longer than the header limit is malformed now, in requests as well; interim and skipped responses have a limit. The responses in progress of a node are bounded together by max_buffered_bytes: the largest is given up first.

http_client.response_without_end_fails_and_closes_the_connection failed for the six before; responses_in_progress_are_bounded_together guards the new limit.

--- a/include/jujubespan/http/client.hpp
+++ b/include/jujubespan/http/client.hpp
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,6 +30,9 @@
 struct client_options
 {
     message_limits limits{};
+    /// Limit of the response bytes received and not yet handed over, of all
+    /// exchanges together.
+    std::size_t max_buffered_bytes{std::numeric_limits<std::size_t>::max()};
     std::size_t max_idle_connections{1};
     std::size_t max_connections{0}; ///< Zero: no limit.
     /// Longest idle time after which a connection is reused. A shorter time
@@ -93,6 +97,9 @@
         return idle_connections_.size();
     }
 
+    /// @brief Response bytes received for the exchanges in progress.
+    [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
+
     /// @brief Connections opened or attempted since construction.
     [[nodiscard]] std::uint64_t connect_attempts() const
     {
@@ -102,6 +109,10 @@
 private:
     friend class client_connection;
 
+    /// @brief Fails the exchanges with the largest responses until the limit of
+    /// the buffered bytes is kept.
+    /// @return false when a given connection was among them.
+    bool limit_buffered_bytes(const client_connection& connection);
     void finish_exchange(client_connection* connection, exchange_result result,
                          http_response response, bool reusable);
     std::unique_ptr<client_connection> take_idle_connection(bool idempotent,
@@ -113,6 +124,7 @@
     client_options options_;
     response_handler& handler_;
     std::uint64_t connect_attempts_{0};
+    std::size_t buffered_bytes_{0};
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<client_connection>>
         active_connections_;
     std::vector<std::unique_ptr<client_connection>>
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -24,6 +24,8 @@
 // A connection is no longer used this long before its server would close it.
 constexpr duration keep_alive_margin = std::chrono::milliseconds(1500);
 constexpr std::size_t read_chunk_bytes = 16U << 10U;
+// Responses to earlier requests that may precede the expected one.
+constexpr unsigned max_skipped_responses = 4;
 
 // How long the server keeps an idle connection open, from
 // `Keep-Alive: timeout=N`.
@@ -73,6 +75,7 @@
 
     ~client_connection()
     {
+        release_buffered_bytes();
         socket_->disconnect();
         socket_->abort();
         socket_->deleteLater();
@@ -126,11 +129,13 @@
     }
 
     [[nodiscard]] std::uint64_t exchange() const { return exchange_; }
+    [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
 
     void mark_idle(duration lifetime, time_point now)
     {
         exchange_ = 0;
         request_sent_ = false;
+        release_buffered_bytes();
         parser_.reset();
         usable_until_ = now + lifetime;
         idle_since_ = now;
@@ -175,8 +180,25 @@
             on_disconnected(); // Data without an outstanding request.
             return;
         }
+        const auto size_before = receive_buffer_.size();
         receive_buffer_ += socket_->readAll();
-        parse_responses();
+        on_bytes_received(receive_buffer_.size() - size_before);
+    }
+
+    void on_bytes_received(qsizetype count)
+    {
+        buffered_bytes_ += static_cast<std::size_t>(count);
+        owner_.buffered_bytes_ += static_cast<std::size_t>(count);
+        if (owner_.limit_buffered_bytes(*this))
+        {
+            parse_responses();
+        }
+    }
+
+    void release_buffered_bytes()
+    {
+        owner_.buffered_bytes_ -= buffered_bytes_;
+        buffered_bytes_ = 0;
     }
 
     void parse_responses()
@@ -200,9 +222,10 @@
             }
             const bool keep_alive = parser_->keep_alive();
             auto response = parser_->take_message();
-            if (answers_earlier_request(response) && keep_alive)
+            if (answers_earlier_request(response) && keep_alive &&
+                skipped_responses_ < max_skipped_responses)
             {
-                skipped_response_ = true;
+                ++skipped_responses_;
                 reset_parser();
                 continue;
             }
@@ -233,7 +256,7 @@
         // If the server responded before the whole request was written, it may
         // still read the rest of that request, so the connection cannot be
         // reused.
-        const bool reusable = keep_alive && !skipped_response_ &&
+        const bool reusable = keep_alive && skipped_responses_ == 0 &&
                               receive_buffer_.isEmpty() &&
                               socket_->bytesToWrite() == 0;
         owner_.finish_exchange(this, exchange_result::answered,
@@ -268,7 +291,7 @@
         {
             receive_buffer_.append(chunk.data(),
                                    static_cast<qsizetype>(received));
-            parse_responses();
+            on_bytes_received(static_cast<qsizetype>(received));
             return;
         }
         if (received < 0 && (errno == EAGAIN || errno == EINTR))
@@ -308,7 +331,8 @@
     std::uint64_t exchange_{0};
     bool head_request_{false};
     bool request_sent_{false};
-    bool skipped_response_{false}; // to an earlier request
+    unsigned skipped_responses_{0}; // to earlier requests
+    std::size_t buffered_bytes_{0}; // part of owner_.buffered_bytes_
     time_point usable_until_{};
     time_point idle_since_{};
     int body_descriptor_{-1}; // set while reading a close-delimited body
@@ -373,6 +397,31 @@
     return nullptr;
 }
 
+bool client::limit_buffered_bytes(const client_connection& connection)
+{
+    const std::uint64_t exchange = connection.exchange();
+    while (buffered_bytes_ > options_.max_buffered_bytes)
+    {
+        client_connection* largest = nullptr;
+        for (const auto& [id, item] : active_connections_)
+        {
+            if (largest == nullptr ||
+                item->buffered_bytes() > largest->buffered_bytes())
+            {
+                largest = item.get();
+            }
+        }
+        if (largest == nullptr)
+        {
+            break;
+        }
+        finish_exchange(largest, exchange_result::failed, {}, false);
+    }
+    const auto found = active_connections_.find(exchange);
+    return found != active_connections_.end() &&
+           found->second.get() == &connection;
+}
+
 void client::cancel(std::uint64_t exchange)
 {
     active_connections_.erase(exchange);
--- a/src/jujubespan/http/client_test.cpp
+++ b/src/jujubespan/http/client_test.cpp
@@ -12,6 +12,7 @@
 #include <QTcpSocket>
 #include <QTimer>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <functional>
@@ -19,6 +20,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace jujubespan::http
 {
@@ -354,5 +356,123 @@
     close(listener);
 }
 
+// A backend server that sends a first part and then repeats another part until
+// the connection is closed.
+class endless_backend
+{
+public:
+    endless_backend(QByteArray first, QByteArray repeated)
+        : backend_(
+              [this, first = std::move(first),
+               repeated = std::move(repeated)](QTcpSocket& socket)
+              {
+                  socket.write(first);
+                  const auto send_more = [this, &socket, repeated]
+                  {
+                      if (socket.bytesToWrite() < repeated.size())
+                      {
+                          sent_bytes += repeated.size();
+                          socket.write(repeated);
+                      }
+                  };
+                  QObject::connect(&socket, &QTcpSocket::bytesWritten, &socket,
+                                   send_more);
+                  send_more();
+              })
+    {
+    }
+
+    [[nodiscard]] config::endpoint endpoint() const
+    {
+        return backend_.endpoint();
+    }
+
+    qsizetype sent_bytes{0};
+
+private:
+    scripted_backend backend_;
+};
+
+struct endless_case
+{
+    const char* name;
+    QByteArray first;
+    QByteArray repeated;
+};
+
+std::vector<endless_case> endless_cases()
+{
+    const QByteArray status = "HTTP/1.1 200 OK\r\n";
+    const QByteArray chunked = status + "Transfer-Encoding: chunked\r\n\r\n";
+    const QByteArray block(16384, 'x');
+    return {
+        {"start_line", "", block},
+        {"header_line", status + "Name: ", block},
+        {"header_lines", status, QByteArray("Name: value\r\n").repeated(1000)},
+        {"interim_responses", "",
+         QByteArray("HTTP/1.1 102 Processing\r\n\r\n").repeated(600)},
+        {"body_until_close", status + "\r\n", block},
+        {"chunks", chunked, "4000\r\n" + block + "\r\n"},
+        {"chunk_size", chunked, QByteArray(16384, '0')},
+        {"chunk_extension", chunked + "5;name=", block},
+        {"trailer_line", chunked + "0\r\nName: ", block},
+        {"trailer_lines", chunked + "0\r\n",
+         QByteArray("Name: value\r\n").repeated(1000)},
+        {"earlier_responses", "",
+         QByteArray("HTTP/1.1 200 OK\r\nRequest-Id: old\r\n"
+                    "Content-Length: 3\r\n\r\nold")
+             .repeated(250)},
+    };
+}
+
+// Guards against a server that sends bytes without end: they must neither fill
+// the memory of the node nor keep the exchange open until its deadline.
+TEST(http_client, response_without_end_fails_and_closes_the_connection)
+{
+    for (const auto& item : endless_cases())
+    {
+        endless_backend backend(item.first, item.repeated);
+        recorder handler;
+        auto options = echo_checking_options();
+        options.limits = {16U << 10U, 256U << 10U};
+        client target(backend.endpoint(), options, handler);
+        target.start(1, get_with_id("new"));
+        EXPECT_TRUE(wait_for([&] { return handler.results.contains(1); }, 3000))
+            << item.name;
+        EXPECT_EQ(handler.results[1].first, exchange_result::failed)
+            << item.name;
+        EXPECT_EQ(target.idle_connection_count(), 0U) << item.name;
+        // What the sockets buffer comes on top of the limits.
+        EXPECT_LT(backend.sent_bytes, 16 << 20) << item.name;
+    }
+}
+
+// Many such servers' responses at once exceed the memory of the node although
+// each of them keeps to the limit of a body.
+TEST(http_client, responses_in_progress_are_bounded_together)
+{
+    endless_backend backend("HTTP/1.1 200 OK\r\n\r\n", QByteArray(16384, 'x'));
+    recorder handler;
+    auto options = echo_checking_options();
+    options.limits = {16U << 10U, 64U << 20U};
+    options.max_buffered_bytes = 4U << 20U;
+    client target(backend.endpoint(), options, handler);
+    constexpr std::uint64_t exchanges = 20;
+    std::size_t most = 0;
+    for (std::uint64_t i = 1; i <= exchanges; ++i)
+    {
+        target.start(i, get_with_id("new"));
+    }
+    EXPECT_TRUE(wait_for(
+        [&]
+        {
+            most = std::max(most, target.buffered_bytes());
+            return handler.results.size() == exchanges;
+        },
+        5000));
+    EXPECT_LE(most, (4U << 20U) + (1U << 20U));
+    EXPECT_EQ(target.buffered_bytes(), 0U);
+}
+
 } // namespace
 } // namespace jujubespan::http
--- a/src/jujubespan/http/codec.cpp
+++ b/src/jujubespan/http/codec.cpp
@@ -23,6 +23,7 @@
 
 constexpr unsigned http_1_1 = 11;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned max_interim_responses = 16;
 
 parse_state to_parse_state(const beast::error_code& error)
 {
@@ -37,9 +38,13 @@
     return parse_state::malformed;
 }
 
-// Parses from the front of the buffer and removes the parsed bytes.
+// Parses from the front of the buffer and removes the parsed bytes. A part that
+// the parser only takes as a whole, such as the header of a chunk or the
+// trailers, is malformed beyond `max_unparsed_bytes`: the parser has no limit
+// for all of them.
 template <bool is_request>
 parse_state parse_buffer(parser<is_request>& message_parser, QByteArray& buffer,
+                         std::size_t max_unparsed_bytes,
                          std::string& error_message)
 {
     qsizetype parsed_bytes = 0;
@@ -62,8 +67,16 @@
         }
     }
     buffer.remove(0, parsed_bytes);
-    return message_parser.is_done() ? parse_state::complete
-                                    : parse_state::incomplete;
+    if (message_parser.is_done())
+    {
+        return parse_state::complete;
+    }
+    if (static_cast<std::size_t>(buffer.size()) > max_unparsed_bytes)
+    {
+        error_message = "a part of the message is too long";
+        return parse_state::malformed;
+    }
+    return parse_state::incomplete;
 }
 
 template <bool is_request>
@@ -127,6 +140,7 @@
 
 struct request_parser::state
 {
+    std::size_t header_limit{0};
     parser<true> message_parser;
     bool started{false};
     std::string error_message;
@@ -135,6 +149,7 @@
 request_parser::request_parser(message_limits limits)
     : state_(std::make_unique<state>())
 {
+    state_->header_limit = limits.header_bytes;
     state_->message_parser.eager(true);
     state_->message_parser.header_limit(
         static_cast<std::uint32_t>(limits.header_bytes));
@@ -151,7 +166,8 @@
 parse_state request_parser::parse(QByteArray& buffer)
 {
     state_->started = state_->started || !buffer.isEmpty();
-    return parse_buffer(state_->message_parser, buffer, state_->error_message);
+    return parse_buffer(state_->message_parser, buffer, state_->header_limit,
+                        state_->error_message);
 }
 
 http_request request_parser::take_message()
@@ -200,6 +216,7 @@
     message_limits limits;
     bool head_request;
     bool close_delimited;
+    unsigned interim_responses{0};
     std::optional<parser<false>> message_parser;
     std::string error_message;
 
@@ -227,12 +244,18 @@
 {
     while (true)
     {
-        const auto result = parse_buffer(*state_->message_parser, buffer,
-                                         state_->error_message);
+        const auto result =
+            parse_buffer(*state_->message_parser, buffer,
+                         state_->limits.header_bytes, state_->error_message);
         const auto& message_parser = *state_->message_parser;
         if (result == parse_state::complete &&
             message_parser.get().result_int() < first_final_status)
         {
+            if (++state_->interim_responses > max_interim_responses)
+            {
+                state_->error_message = "too many interim responses";
+                return parse_state::malformed;
+            }
             state_->reset();
             continue;
         }
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -42,9 +42,11 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
-http::client_options make_backend_options(const mesh::header_names& names)
+http::client_options make_backend_options(const config::mesh_settings& settings,
+                                          const mesh::header_names& names)
 {
     http::client_options options;
+    options.max_buffered_bytes = settings.max_buffered_bytes;
     options.limits = {backend_max_header_bytes, backend_max_body_bytes};
     options.max_idle_connections = max_idle_connections;
     options.idle_timeout = idle_connection_timeout;
@@ -102,7 +104,7 @@
                      const mesh::header_names& names, std::uint64_t incarnation,
                      zmq::context_t& context)
     : options_(options),
-      backend_(options.backend_address, make_backend_options(names)),
+      backend_(options.backend_address, make_backend_options(options, names)),
       peers_(context, options.call_address,
              options.call_listen_address.value_or(options.call_address),
              incarnation),
