Do not take a late copy without an id for the next response

A server that echoes ids may send a second copy of a response late, on a connection that is in use again. With an id it was skipped; a copy without one was handed to the next caller. A response without an id is now skipped like one with another id, once a response on the connection had one.

http_client.late_copy_without_id_is_not_the_response_to_the_next_request failed before (the caller got the body of the earlier response).

--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -243,7 +243,8 @@
         }
         const auto value =
             find_header(response.headers, owner_.options_.echo_header);
-        return !value.empty() && value != expected_echo_;
+        // A server that echoes ids does so in each response to a request.
+        return value.empty() ? server_echoes_ : value != expected_echo_;
     }
 
     void finish_response(http_response response, bool keep_alive)
@@ -259,6 +260,9 @@
         const bool reusable = keep_alive && skipped_responses_ == 0 &&
                               receive_buffer_.isEmpty() &&
                               socket_->bytesToWrite() == 0;
+        server_echoes_ =
+            server_echoes_ ||
+            !find_header(response.headers, owner_.options_.echo_header).empty();
         owner_.finish_exchange(this, exchange_result::answered,
                                std::move(response), reusable);
     }
@@ -328,6 +332,7 @@
     QByteArray send_buffer_;
     QByteArray receive_buffer_;
     std::string expected_echo_; // value that the response must echo
+    bool server_echoes_{false}; // in an earlier response on this connection
     std::uint64_t exchange_{0};
     bool head_request_{false};
     bool request_sent_{false};
--- a/src/jujubespan/http/client_test.cpp
+++ b/src/jujubespan/http/client_test.cpp
@@ -201,6 +201,53 @@
         << "responses no longer match requests";
 }
 
+// Guards against a late second copy of a response, sent without the id that
+// identifies it, being taken for the response to the next request.
+TEST(http_client, late_copy_without_id_is_not_the_response_to_the_next_request)
+{
+    int answered = 0;
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            if (answered++ == 0)
+            {
+                socket.write("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+                             "Content-Length: 3\r\n\r\none");
+                return;
+            }
+            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+                         "HTTP/1.1 200 OK\r\nRequest-Id: 2\r\n"
+                         "Content-Length: 3\r\n\r\ntwo");
+        });
+    recorder handler;
+    client target(backend.endpoint(), echo_checking_options(), handler);
+    target.start(1, get_with_id("1"));
+    ASSERT_TRUE(wait_for([&] { return handler.results.contains(1); }));
+    EXPECT_EQ(target.idle_connection_count(), 1U);
+    target.start(2, get_with_id("2"));
+    ASSERT_TRUE(wait_for([&] { return handler.results.contains(2); }));
+    EXPECT_EQ(handler.results[2].second.body, "two");
+    EXPECT_EQ(target.idle_connection_count(), 0U);
+    EXPECT_EQ(target.connect_attempts(), 1U);
+}
+
+// Not every server echoes ids.
+TEST(http_client, responses_of_a_server_that_never_sends_ids_are_accepted)
+{
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        { socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); });
+    recorder handler;
+    client target(backend.endpoint(), echo_checking_options(), handler);
+    for (std::uint64_t i = 1; i <= 2; ++i)
+    {
+        target.start(i, get_with_id("1"));
+        ASSERT_TRUE(wait_for([&] { return handler.results.contains(i); }));
+        EXPECT_EQ(handler.results[i].first, exchange_result::answered);
+    }
+    EXPECT_EQ(target.connect_attempts(), 1U);
+}
+
 TEST(http_client, last_response_to_an_earlier_request_is_a_failure)
 {
     scripted_backend backend(
