Follow a store that is restored from an older copy

In a drill the store comes back from a copy some seconds old: revisions go back and are given out again, and its answers carry an era that rises by one. All positions were maxima of plain revisions, so whatever was written below the old mark would have been ignored, and a server that had left came back with the copy.

A revision now holds the era in its high bits (as a zxid does), so that every comparison, the messages between nodes and the readers of the fleet order by era first; in era zero nothing changes on the wire. A higher era in any answer starts a full read; what is in force stays in force until it is whole. The root sends the content to the fleet, so that the copy is read once. An answer or an update of an earlier era changes nothing.

--- a/include/jujubespan/mesh/discovery.hpp
+++ b/include/jujubespan/mesh/discovery.hpp
@@ -3,6 +3,7 @@
 
 #include "jujubespan/config/endpoint.hpp"
 #include "jujubespan/mesh/configuration.hpp"
+#include "jujubespan/policy/history_revision.hpp"
 #include "jujubespan/policy/instance.hpp"
 #include "jujubespan/policy/versioned_map.hpp"
 
@@ -35,6 +36,10 @@
     virtual void on_interrupted(const absl::Status& error) = 0;
     virtual void on_restored() = 0;
 
+    /// @brief The source was restored from an older copy of itself. A full read
+    /// of it follows; entries that are missing in it may be written again.
+    virtual void on_history_replaced() = 0;
+
     /// @brief The source answered. Called after the handlers of the changes.
     /// @param changes all changes between two revisions, in the encoding of the
     /// source; other nodes pass them to `discovery::apply`.
@@ -69,7 +74,8 @@
 
     virtual void set_pace(const discovery_pace& pace) = 0;
 
-    /// @brief Applies changes that another node has read.
+    /// @brief Applies changes that another node has read. Changes from the
+    /// beginning of an era hold the whole content of the source.
     /// @return `gap` if changes before them are missing.
     virtual delta_result apply(const versioned_delta& changes) = 0;
 
@@ -77,10 +83,10 @@
     [[nodiscard]] virtual std::uint64_t calls() const = 0;
 
     /// @brief Latest revision that was read.
-    [[nodiscard]] virtual std::uint64_t revision() const = 0;
+    [[nodiscard]] virtual history_revision revision() const = 0;
 
     /// @brief Highest revision of a change that was applied.
-    [[nodiscard]] virtual std::uint64_t applied_revision() const = 0;
+    [[nodiscard]] virtual history_revision applied_revision() const = 0;
 };
 
 } // namespace jujubespan::mesh
--- a/include/jujubespan/mesh/instance_directory.hpp
+++ b/include/jujubespan/mesh/instance_directory.hpp
@@ -51,6 +51,10 @@
     /// @brief Discovery is available again.
     void on_restored(time_point now);
 
+    /// @brief Discovery was restored from an older copy of itself: entries may
+    /// be missing until they are written again.
+    void on_history_replaced(time_point now);
+
     /// @brief Performs the deferred removals that are due.
     /// @return true when an instance was removed.
     bool expire(time_point now);
--- a/include/jujubespan/node/mesh_control.hpp
+++ b/include/jujubespan/node/mesh_control.hpp
@@ -47,6 +47,7 @@
     void on_complete(std::span<const std::string> ids) override;
     void on_interrupted(const absl::Status& error) override;
     void on_restored() override;
+    void on_history_replaced() override;
     void on_read(const versioned_delta& changes) override;
 
     // Called on the traffic thread.
--- a/include/jujubespan/node/mesh_report_text.hpp
+++ b/include/jujubespan/node/mesh_report_text.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESPAN_NODE_MESH_REPORT_TEXT_HPP
 
 #include "jujubespan/node/mesh_loop.hpp"
+#include "jujubespan/policy/history_revision.hpp"
 
 #include <string>
 
@@ -12,7 +13,7 @@
 struct control_report
 {
     std::uint64_t discovery_calls{0};
-    std::uint64_t discovery_revision{0};
+    history_revision discovery_revision{0};
     std::size_t instance_count{0};
     /// Unreadable entries and fields of the configuration in force.
     std::size_t configuration_defects{0};
--- a/src/jujubespan/mesh/instance_directory.cpp
+++ b/src/jujubespan/mesh/instance_directory.cpp
@@ -88,6 +88,11 @@
     interrupted_at_.reset();
 }
 
+void instance_directory::on_history_replaced(time_point now)
+{
+    defer_until_ = now + removal_delay;
+}
+
 bool instance_directory::defers_removals(time_point now) const
 {
     return interrupted_at_.has_value() || (defer_until_ && now < *defer_until_);
--- a/src/jujubespan/mesh/instance_directory_test.cpp
+++ b/src/jujubespan/mesh/instance_directory_test.cpp
@@ -110,5 +110,23 @@
     EXPECT_EQ(list.all().front().id, "b");
 }
 
+// An instance that registered after the copy was made is missing in it although
+// it lives, however short the outage was.
+TEST_F(instance_directory_test, restored_copy_defers_removals_for_two_seconds)
+{
+    list.put(make_instance("b"));
+    list.on_interrupted(start);
+    const auto restored = start + 300ms;
+    list.on_restored(restored);
+    list.on_history_replaced(restored);
+    list.retain_only({}, restored);
+    EXPECT_FALSE(list.expire(restored + 1900ms));
+    EXPECT_EQ(list.state("a"), instance_state::usable);
+    list.put(make_instance("a"));
+    EXPECT_TRUE(list.expire(restored + 2100ms));
+    EXPECT_EQ(list.state("a"), instance_state::usable);
+    EXPECT_EQ(list.state("b"), instance_state::removed);
+}
+
 } // namespace
 } // namespace jujubespan::mesh
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -114,7 +114,7 @@
     log(log_level::info, "configuration_applied",
         "version={} before={} routes={} defects={} revision={}", next->version,
         configuration_version_, next->routes.size(), next->defects.size(),
-        source_->revision());
+        history_revision_text(source_->revision()));
     const auto logged = std::min(next->defects.size(), max_logged_defects);
     for (const auto& defect : std::span(next->defects).first(logged))
     {
@@ -132,7 +132,7 @@
         "instance={} service={} domain={} slots={} leaving={} lifetime={} "
         "revision={}",
         item.id, item.service, item.failure_domain, item.slots, item.leaving,
-        item.incarnation, source_->revision());
+        item.incarnation, history_revision_text(source_->revision()));
     directory_.put(item);
     schedule_publish();
 }
@@ -140,7 +140,7 @@
 void mesh_control::on_instance_removed(std::string_view id)
 {
     log(log_level::info, "instance_unlisted", "instance={} revision={}", id,
-        source_->revision());
+        history_revision_text(source_->revision()));
     directory_.remove(id, boot_clock::now());
     schedule_publish();
 }
@@ -148,7 +148,7 @@
 void mesh_control::on_complete(std::span<const std::string> ids)
 {
     log(log_level::info, "discovery_read", "instances={} revision={}",
-        ids.size(), source_->revision());
+        ids.size(), history_revision_text(source_->revision()));
     discovery_complete_ = true;
     directory_.retain_only(ids, boot_clock::now());
     schedule_publish();
@@ -159,7 +159,7 @@
     if (!discovery_interrupted_)
     {
         log(log_level::warn, "discovery_lost", "revision={} why=\"{}\"",
-            source_->revision(), text_of(error));
+            history_revision_text(source_->revision()), text_of(error));
     }
     discovery_interrupted_ = true;
     directory_.on_interrupted(
@@ -173,13 +173,18 @@
     if (discovery_interrupted_)
     {
         log(log_level::info, "discovery_back", "revision={}",
-            source_->revision());
+            history_revision_text(source_->revision()));
     }
     discovery_interrupted_ = false;
     contact_before_reading_.reset();
     directory_.on_restored(boot_clock::now());
 }
 
+void mesh_control::on_history_replaced()
+{
+    directory_.on_history_replaced(boot_clock::now());
+}
+
 void mesh_control::on_read(const versioned_delta& changes)
 {
     const auto now = boot_clock::now();
@@ -218,6 +223,15 @@
 void mesh_control::apply_update(const std::string& peer,
                                 const mesh::discovery_update& update)
 {
+    if (era_of(update.changes.revision) < era_of(source_->revision()))
+    {
+        // The sender has not noticed that the source was restored from a copy,
+        // or does not know of eras.
+        log(log_level::debug, "discovery_update_late",
+            "peer={} era={} latest={}", peer, era_of(update.changes.revision),
+            era_of(source_->revision()));
+        return;
+    }
     // Before the changes, among which may be entries that expired while the
     // source was unavailable.
     if (mesh::discovery_sharing::is_recent(update.age))
@@ -228,8 +242,9 @@
     if (result == delta_result::gap)
     {
         log(log_level::debug, "discovery_update_gap",
-            "peer={} after={} revision={}", peer, update.changes.after,
-            source_->revision());
+            "peer={} after={} revision={}", peer,
+            history_revision_text(update.changes.after),
+            history_revision_text(source_->revision()));
         sharing_.on_gap();
     }
     else
@@ -265,7 +280,7 @@
         log(log_level::info, "discovery_reader",
             "role={} reading={} subscribers={} revision={}",
             to_string(sharing_.role()), reading, sharing_.subscribers().size(),
-            source_->revision());
+            history_revision_text(source_->revision()));
     }
     if (reading && !reading_)
     {
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -149,7 +149,10 @@
               "Unreadable entries and fields of the configuration in force.",
               static_cast<double>(control.configuration_defects));
     add_gauge(out, "jujubespan_discovery_revision", "Revision read up to.",
-              static_cast<double>(control.discovery_revision));
+              static_cast<double>(number_of(control.discovery_revision)));
+    add_gauge(out, "jujubespan_discovery_era",
+              "Rises when the discovery service is restored from a copy.",
+              static_cast<double>(era_of(control.discovery_revision)));
     add_gauge(out, "jujubespan_instances", "Instances known.",
               static_cast<double>(control.instance_count));
     add_gauge(out, "jujubespan_discovery_interrupted",
