Soak: restored store, announced limits and ends

The stand-in of the store comes back from a copy of a drawn age with the next era; backend servers announce a limit or that they leave. Promises LIMIT and DRAIN are checked against what the nodes had passed on, and tested by themselves.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -31,6 +31,8 @@
         self.spoil = 0.0
         # Share of the requests that fail with status 500 without delay.
         self.grey = 0.0
+        self.rate_limit = None  # requests per second that it announces
+        self.leaving = False    # announces that it leaves
         self.server = None
         self.draining = False
         self.heartbeat_task = None
@@ -51,6 +53,7 @@
 
     async def start(self):
         self.draining = False
+        self.leaving = False
         self.server = await asyncio.start_server(
             self.serve_connection, *self.config.advertised_address("backend"))
         self.heartbeat_task = asyncio.create_task(self.send_heartbeats())
@@ -187,6 +190,10 @@
         body = f"{echo[platform_store.REQUEST_ID]} {self.instance}".encode()
         headers = {**echo, platform_store.SIGNATURE: compute_signature(
             echo[platform_store.REQUEST_ID], self.instance)}
+        if self.rate_limit is not None:
+            headers[platform_store.RATE_LIMIT] = f"{self.rate_limit:.1f}"
+        if self.leaving:
+            headers[platform_store.LEAVING] = "1"
         data = http.response(status, headers, body).encode()
         if self.random.random() < self.spoil:
             if self.random.random() < 0.5:
--- a/soak/client.py
+++ b/soak/client.py
@@ -67,6 +67,7 @@
     sent.outcome = "answered"
     sent.status = response.status
     sent.detail = check_response(sent, response)
+    record_announcements(ledger, sent, response)
     if (response.headers.get("connection", "").lower() == "close"
             or sent.parent):
         writer.close()
@@ -74,6 +75,17 @@
     return connection
 
 
+def record_announcements(ledger, sent, response):
+    """Records what the instance announced in a response that a node passed on."""
+    words = response.body.decode("latin-1").split(" ")
+    if len(words) != 2:
+        return
+    for header, told in ((platform_store.RATE_LIMIT, ledger.told_limit),
+                         (platform_store.LEAVING, ledger.told_leaving)):
+        if header.lower() in response.headers:
+            told.setdefault((sent.node, words[1]), sent.ended)
+
+
 def check_response(sent, response):
     """Returns what is wrong with a response, or an empty string."""
     if response.headers.get(platform_store.REQUEST_ID.lower(),
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 import time
 
 import store_standin as platform_store
+from soak.ledger import RateLimit
 
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
@@ -31,10 +32,11 @@
             self.drop_calls_one_way, self.drop_calls_both_ways,
             self.drop_store_traffic,
             self.change_store_mode, self.change_store_mode,
-            self.compact_store,
+            self.compact_store, self.restore_store_copy,
             self.crash_backend, self.restart_backend, self.replace_backend,
             self.slow_backend, self.lose_responses, self.corrupt_responses,
             self.fail_requests, self.close_idle_connections,
+            self.announce_rate_limit, self.announce_leaving,
             self.change_route_targets, self.change_timeout,
             self.abandon_requests, self.increase_request_rate]
 
@@ -204,6 +206,32 @@
         self.fleet.store.compact()
         self.ledger.end_disturbance(disturbance)
 
+    async def restore_store_copy(self):
+        """Replaces the store by a copy of an earlier state of it.
+
+        Afterwards the operator, and the backend servers with their next
+        report, write again what was lost; entries that nobody writes expire.
+        """
+        store = self.fleet.store
+        if self.reserve_item("store", [store]) is None:
+            return
+        disturbance = self.ledger.begin_disturbance("*", "restored store")
+        store.mode = "refuse"
+        await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        store.restore_copy(self.random.uniform(0.5, 6))
+        store.mode = "up"
+        restored = time.monotonic()
+        await asyncio.sleep(self.random.uniform(0, 0.5))
+        self.fleet.put_configuration()
+        for server in self.fleet.backends:
+            if server.draining:
+                server.publish_entry()
+        await asyncio.sleep(platform_store.HEARTBEAT_S
+                            * platform_store.MISSED_HEARTBEATS_BEFORE_REMOVAL)
+        store.expire_instances(restored)
+        self.ledger.end_disturbance(disturbance)
+        self.release_item("store", store)
+
     async def disturb_backend(self, kind, apply_fault, clear_fault=None):
         """Applies a fault to a random backend server, and records it.
 
@@ -280,6 +308,35 @@
             server.close_idle_connections()
         await self.disturb_backend("close of idle connections", apply_fault)
 
+    async def announce_rate_limit(self):
+        """Lets a backend server announce a limit below its usual load."""
+        server = self.reserve_item("limit", self.fleet.backends)
+        if server is None:
+            return
+        limit = RateLimit(server.instance, self.random.uniform(1, 6),
+                          time.monotonic())
+        self.ledger.rate_limits.append(limit)
+        server.rate_limit = limit.rate
+        self.ledger.add_log_line(
+            f"{server.instance}: limit {limit.rate:.1f} begins")
+        await asyncio.sleep(self.random.uniform(5, 9))
+        server.rate_limit = None
+        limit.end = time.monotonic()
+        self.ledger.add_log_line(f"{server.instance}: limit ends")
+        self.release_item("limit", server)
+
+    async def announce_leaving(self):
+        """Lets a backend server announce its end in its responses only."""
+        async def apply_fault(server):
+            server.leaving = True
+            await asyncio.sleep(4)
+            server.stop()
+            await asyncio.sleep(0.1)
+            server.begin_lifetime(new_id=True)
+            await server.start()
+        await self.disturb_backend("announced end and replacement",
+                                   apply_fault)
+
     async def change_route_targets(self):
         route = next(r for r in self.fleet.routes if r.name == "look")
         new_targets = self.random.choice([
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -60,11 +60,14 @@
             self.routes = [
                 dataclasses.replace(r, **change) if r is changed_route else r
                 for r in self.routes]
+        self.put_configuration()
+        self.ledger.configurations.append(
+            (time.monotonic(), {r.name: set(r.targets) for r in self.routes}))
+
+    def put_configuration(self):
         self.store.put(
             platform_store.CONFIGURATION_KEY, platform_store.configuration(
                 self.version, self.routes, plan.SERVICES))
-        self.ledger.configurations.append(
-            (time.monotonic(), {r.name: set(r.targets) for r in self.routes}))
 
     async def start(self):
         await self.store.start()
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -59,6 +59,16 @@
     end: float = 0
 
 
+@dataclass
+class RateLimit:
+    """A limit that a backend server announced in its responses."""
+
+    instance: str
+    rate: float  # requests per second
+    start: float
+    end: float = 0
+
+
 @dataclass
 class Ledger:
     sent: dict = field(default_factory=dict)      # id: request
@@ -67,6 +77,11 @@
     # (time, {route: services}) of each published configuration
     configurations: list = field(default_factory=list)
     draining: dict = field(default_factory=dict)  # instance: drain start
+    rate_limits: list = field(default_factory=list)
+    # (node, instance): time at which the node first passed on a response in
+    # which the instance announced a limit, or that it leaves
+    told_limit: dict = field(default_factory=dict)
+    told_leaving: dict = field(default_factory=dict)
     harness_lag: list = field(default_factory=list)  # (time, lag in s)
     log: list = field(default_factory=list)  # (s since the start, text)
     started: float = field(default_factory=time.monotonic)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -22,6 +22,13 @@
 MAX_LATE_ARRIVALS = 3
 # Timing checks are skipped while the event loop lags by more than this.
 MAX_HARNESS_LAG_S = 0.1
+# An instance that announces a limit may get LIMIT_FACTOR times what it allows
+# within LIMIT_WINDOW_S, and LIMIT_SLACK requests, from the nodes that passed on
+# its announcement LIMIT_TOLD_S earlier.
+LIMIT_FACTOR = 1.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_SLACK = 5
+LIMIT_TOLD_S = 0.5
 # Statuses that assure the caller that the request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 MIN_SUCCESS_RATIO = 0.95  # of the requests sent after the last fault
@@ -77,6 +84,8 @@
         self.check_arrivals_were_sent()
         self.check_cancellation()
         self.check_drain()
+        self.check_announced_leaving()
+        self.check_rate_limits()
         self.check_retry_budget()
         return self.violations
 
@@ -192,6 +201,54 @@
                                    f"{arrival.at - drain_start:.2f} s after "
                                    "its drain began")
 
+    def is_told(self, told, arrival, delay_s):
+        """Tells whether the sending node had passed on an announcement.
+
+        That is at least `delay_s` before the request was sent, without a
+        disturbance of the node since.
+        """
+        sent = self.ledger.sent.get(arrival.id)
+        if sent is None:
+            return False
+        told_at = told.get((sent.node, arrival.instance))
+        return (told_at is not None and sent.at > told_at + delay_s
+                and self.ledger.is_undisturbed(sent.node, told_at, arrival.at)
+                and self.is_timing_reliable(told_at, arrival.at))
+
+    def check_announced_leaving(self):
+        for arrival in self.ledger.arrivals:
+            if self.is_told(self.ledger.told_leaving, arrival, DRAIN_S):
+                self.add_violation(
+                    "DRAIN", self.ledger.sent[arrival.id],
+                    f"reached {arrival.instance}, which had announced that it "
+                    "leaves")
+
+    def check_rate_limits(self):
+        """Compares arrivals with the limits that their instances announced.
+
+        Reports only the first violation of each limit.
+        """
+        for limit in self.ledger.rate_limits:
+            allowed = (LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_S
+                       + LIMIT_SLACK)
+            times = sorted(
+                arrival.at for arrival in self.ledger.arrivals
+                if arrival.instance == limit.instance
+                and limit.start + RECONNECT_S <= arrival.at
+                and (not limit.end or arrival.at <= limit.end)
+                and self.is_told(self.ledger.told_limit, arrival,
+                                 LIMIT_TOLD_S))
+            for start in times:
+                count = sum(start <= at < start + LIMIT_WINDOW_S
+                            for at in times)
+                if count > allowed:
+                    self.violations.append(
+                        f"LIMIT {limit.instance} from "
+                        f"t={start - self.ledger.started:.2f}: {count} "
+                        f"requests, {allowed:.0f} allowed at "
+                        f"{limit.rate:.1f} a second")
+                    break
+
     def is_retry(self, arrival):
         """Tells whether an arrival belongs to a retry.
 
--- a/soak/promises_test.py
+++ b/soak/promises_test.py
@@ -3,7 +3,8 @@
 import unittest
 
 from soak import plan
-from soak.ledger import Arrival, Disturbance, Ledger, SentRequest
+from soak.ledger import (Arrival, Disturbance, Ledger, RateLimit,
+                         SentRequest)
 from soak.promises import PromiseChecker
 
 START = 100.0
@@ -146,6 +147,35 @@
         checker.check_recovery(START - 1, START + 1)
         self.assertEqual(checker.violations[0].split()[0], "RECOVER")
 
+    def add_limited_arrivals(self, count):
+        for number in range(count):
+            self.add_arrival(self.add_request(
+                "view", number, at=START + 5 + number * 0.05), "front")
+
+    def test_requests_beyond_an_announced_limit(self):
+        self.ledger.rate_limits.append(RateLimit("i-1", 2, START, START + 20))
+        self.ledger.told_limit["node-1", "i-1"] = START + 1
+        self.add_limited_arrivals(17)
+        self.assertEqual(self.find_broken_rules(), [])
+        self.add_limited_arrivals(18)
+        self.assertEqual(self.find_broken_rules(), ["LIMIT"])
+
+    def test_limit_binds_only_nodes_that_were_told_and_undisturbed(self):
+        self.ledger.rate_limits.append(RateLimit("i-1", 2, START, START + 20))
+        self.add_limited_arrivals(40)
+        self.assertEqual(self.find_broken_rules(), [])
+        self.ledger.told_limit["node-1", "i-1"] = START + 1
+        self.add_disturbance(START + 2, START + 2.5, "node-1")
+        self.assertEqual(self.find_broken_rules(), [])
+
+    def test_request_to_an_instance_that_had_announced_its_end(self):
+        self.ledger.told_leaving["node-1", "i-1"] = START - 1.5
+        sent = self.add_request("view")
+        self.add_arrival(sent, "front")
+        self.assertEqual(self.find_broken_rules(), [])
+        self.ledger.told_leaving["node-1", "i-1"] = START - 2.5
+        self.assertEqual(self.find_broken_rules(), ["DRAIN"])
+
 
 if __name__ == "__main__":
     unittest.main()
