Survive messages that make the HTTP library throw

An exception ends the process. A seeded run of damaged messages found three: - a TRACE request with a body, sent by any client: the guard that was to send it on threw from prepare_payload, and so would each further one; - a response or request that announces a length of petabytes: the library reserved it before it compared it with the limit (bad_alloc); - a header field of 64 KiB and more, where the configured limit allows one.

The length is set by hand, compared with the limit once the header is read, and headers are limited to what the library can hold.

--- a/src/jujubespan/http/codec.cpp
+++ b/src/jujubespan/http/codec.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace jujubespan::http
@@ -24,6 +25,8 @@
 constexpr unsigned http_1_1 = 11;
 constexpr unsigned first_final_status = 200;
 constexpr unsigned max_interim_responses = 16;
+// The library holds the length of a header field in 16 bits.
+constexpr std::size_t max_header_bytes = 65'535;
 
 parse_state to_parse_state(const beast::error_code& error)
 {
@@ -40,11 +43,11 @@
 
 // Parses from the front of the buffer and removes the parsed bytes. A part that
 // the parser only takes as a whole, such as the header of a chunk or the
-// trailers, is malformed beyond `max_unparsed_bytes`: the parser has no limit
+// trailers, is malformed beyond the limit of a header: the parser has no limit
 // for all of them.
 template <bool is_request>
 parse_state parse_buffer(parser<is_request>& message_parser, QByteArray& buffer,
-                         std::size_t max_unparsed_bytes,
+                         const message_limits& limits,
                          std::string& error_message)
 {
     qsizetype parsed_bytes = 0;
@@ -65,13 +68,25 @@
             error_message = error.message();
             return to_parse_state(error);
         }
+        if (!message_parser.eager() && message_parser.is_header_done())
+        {
+            // The parser would reserve the announced length before it compares
+            // the body with its limit.
+            if (!message_parser.is_done() &&
+                message_parser.content_length().value_or(0) > limits.body_bytes)
+            {
+                error_message = "body limit exceeded";
+                return parse_state::body_too_large;
+            }
+            message_parser.eager(true);
+        }
     }
     buffer.remove(0, parsed_bytes);
     if (message_parser.is_done())
     {
         return parse_state::complete;
     }
-    if (static_cast<std::size_t>(buffer.size()) > max_unparsed_bytes)
+    if (static_cast<std::size_t>(buffer.size()) > limits.header_bytes)
     {
         error_message = "a part of the message is too long";
         return parse_state::malformed;
@@ -79,6 +94,15 @@
     return parse_state::incomplete;
 }
 
+template <bool is_request>
+void set_limits(parser<is_request>& message_parser,
+                const message_limits& limits)
+{
+    message_parser.header_limit(static_cast<std::uint32_t>(
+        std::min(limits.header_bytes, max_header_bytes)));
+    message_parser.body_limit(limits.body_bytes);
+}
+
 template <bool is_request>
 std::vector<http_header> to_headers(const bhttp::fields& fields)
 {
@@ -140,7 +164,7 @@
 
 struct request_parser::state
 {
-    std::size_t header_limit{0};
+    message_limits limits;
     parser<true> message_parser;
     bool started{false};
     std::string error_message;
@@ -149,11 +173,8 @@
 request_parser::request_parser(message_limits limits)
     : state_(std::make_unique<state>())
 {
-    state_->header_limit = limits.header_bytes;
-    state_->message_parser.eager(true);
-    state_->message_parser.header_limit(
-        static_cast<std::uint32_t>(limits.header_bytes));
-    state_->message_parser.body_limit(limits.body_bytes);
+    state_->limits = limits;
+    set_limits(state_->message_parser, limits);
 }
 
 request_parser::request_parser(request_parser&& other) noexcept = default;
@@ -166,7 +187,7 @@
 parse_state request_parser::parse(QByteArray& buffer)
 {
     state_->started = state_->started || !buffer.isEmpty();
-    return parse_buffer(state_->message_parser, buffer, state_->header_limit,
+    return parse_buffer(state_->message_parser, buffer, state_->limits,
                         state_->error_message);
 }
 
@@ -223,11 +244,8 @@
     void reset()
     {
         message_parser.emplace();
-        message_parser->eager(true);
         message_parser->skip(head_request);
-        message_parser->header_limit(
-            static_cast<std::uint32_t>(limits.header_bytes));
-        message_parser->body_limit(limits.body_bytes);
+        set_limits(*message_parser, limits);
     }
 };
 
@@ -244,9 +262,8 @@
 {
     while (true)
     {
-        const auto result =
-            parse_buffer(*state_->message_parser, buffer,
-                         state_->limits.header_bytes, state_->error_message);
+        const auto result = parse_buffer(*state_->message_parser, buffer,
+                                         state_->limits, state_->error_message);
         const auto& message_parser = *state_->message_parser;
         if (result == parse_state::complete &&
             message_parser.get().result_int() < first_final_status)
@@ -322,7 +339,13 @@
     message.target(request.target);
     set_headers(message, request.headers);
     message.body() = request.body;
-    message.prepare_payload();
+    // Not by `prepare_payload`, which throws on a TRACE request with a body.
+    const auto method = message.method();
+    if (!request.body.empty() || method == bhttp::verb::options ||
+        method == bhttp::verb::put || method == bhttp::verb::post)
+    {
+        message.content_length(request.body.size());
+    }
     return serialize_message(message, false);
 }
 
--- /dev/null
+++ b/src/jujubespan/http/codec_test.cpp
@@ -0,0 +1,130 @@
+// Tests of the HTTP codec with damaged and unusual messages. An exception from
+// it would end the process.
+
+#include "jujubespan/http/codec.hpp"
+
+#include "jujubespan/policy/mutation_testing.hpp"
+
+#include <gtest/gtest.h>
+
+namespace jujubespan::http
+{
+namespace
+{
+
+using jujubespan::testing::mutations_per_message;
+using jujubespan::testing::mutator;
+
+constexpr message_limits limits{4U << 10U, 64U << 10U};
+
+const std::vector<std::string> requests{
+    "GET /a/1?x=2 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: 1\r\n\r\n",
+    "POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody",
+    "PUT /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "4;x=y\r\nbody\r\n0\r\nTrailer: 1\r\n\r\n",
+    "TRACE /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody",
+};
+
+const std::vector<std::string> responses{
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nKeep-Alive: timeout=5\r\n\r\nbody",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nuntil close",
+    "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+    "0\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\n\r\n",
+};
+
+// Every request that is accepted is also sent on to a backend server.
+TEST(http_codec, damaged_requests_are_parsed_or_rejected)
+{
+    mutator mutate(1);
+    std::size_t complete = 0;
+    for (const auto& original : requests)
+    {
+        for (int i = 0; i < mutations_per_message; ++i)
+        {
+            request_parser parser(limits);
+            auto bytes = QByteArray::fromStdString(mutate(original));
+            if (parser.parse(bytes) == parse_state::complete)
+            {
+                ++complete;
+                const auto request = parser.take_message();
+                EXPECT_FALSE(serialize(request).isEmpty());
+            }
+        }
+    }
+    EXPECT_GT(complete, 100U);
+}
+
+// Every response that is accepted is also sent on to a client.
+TEST(http_codec, damaged_responses_are_parsed_or_rejected)
+{
+    mutator mutate(2);
+    std::size_t complete = 0;
+    for (const auto& original : responses)
+    {
+        for (int i = 0; i < mutations_per_message; ++i)
+        {
+            response_parser parser(limits, false, true);
+            auto bytes = QByteArray::fromStdString(mutate(original));
+            auto state = parser.parse(bytes);
+            if (state == parse_state::incomplete)
+            {
+                state = parser.on_close();
+            }
+            if (state == parse_state::complete)
+            {
+                ++complete;
+                const auto response = parser.take_message();
+                EXPECT_FALSE(serialize(response, true, false).isEmpty());
+            }
+        }
+    }
+    EXPECT_GT(complete, 100U);
+}
+
+// Guards against a request with an unusual method taking the node down.
+TEST(http_codec, request_of_any_method_with_a_body_is_serialized)
+{
+    for (const auto* method : {"TRACE", "GET", "DELETE", "BREW"})
+    {
+        const auto bytes = serialize({method, "/", {{"Host", "a"}}, "body"});
+        EXPECT_TRUE(bytes.contains("Content-Length: 4")) << method;
+        EXPECT_TRUE(bytes.endsWith("\r\n\r\nbody")) << method;
+    }
+    EXPECT_FALSE(serialize({"TRACE", "/", {}, ""}).contains("Content-Length"));
+    EXPECT_TRUE(serialize({"POST", "/", {}, ""}).contains("Content-Length: 0"));
+}
+
+// Guards against a message that announces more than there is memory.
+TEST(http_codec, announced_length_beyond_the_limit_reserves_no_memory)
+{
+    const std::string header = "Content-Length: 4999999999999999\r\n\r\n";
+    request_parser request(limits);
+    auto bytes = QByteArray::fromStdString("POST / HTTP/1.1\r\n" + header);
+    EXPECT_EQ(request.parse(bytes), parse_state::body_too_large);
+    response_parser response(limits, false);
+    bytes = QByteArray::fromStdString("HTTP/1.1 200 OK\r\n" + header + "body");
+    EXPECT_EQ(response.parse(bytes), parse_state::body_too_large);
+    response_parser head_response(limits, true);
+    bytes = QByteArray::fromStdString("HTTP/1.1 200 OK\r\n" + header);
+    EXPECT_EQ(head_response.parse(bytes), parse_state::complete)
+        << "without a body";
+}
+
+// The library holds the length of a header field in 16 bits.
+TEST(http_codec, header_beyond_the_limit_of_the_library_is_too_large)
+{
+    constexpr message_limits large{1U << 20U, 1U << 20U};
+    const auto value = std::string(100'000, 'x');
+    request_parser request(large);
+    auto bytes = QByteArray::fromStdString("GET / HTTP/1.1\r\nName: " + value +
+                                           "\r\n\r\n");
+    EXPECT_EQ(request.parse(bytes), parse_state::header_too_large);
+    response_parser response(large, false);
+    bytes = QByteArray::fromStdString("HTTP/1.1 200 OK\r\nName: " + value +
+                                      "\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(response.parse(bytes), parse_state::header_too_large);
+}
+
+} // namespace
+} // namespace jujubespan::http
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -316,7 +316,8 @@
     {
         reply.answer.reason = engine::reason::rate_limit;
     }
-    reply.residence_time = std::chrono::microseconds(in.held_us());
+    reply.residence_time =
+        std::chrono::microseconds(std::min(in.held_us(), max_remaining_us));
     for (const auto& item : in.costs())
     {
         reply.costs.push_back(
