Keep the announcement of a server that is not listed

A reply that says that its server leaves was forgotten if the entry of the server was missing at that moment, as during an outage of the store: with the entry back, and the server's own node restarted, 19 requests reached the server from nodes that had passed on the announcement. announced_leaving.announcement_of_an_unlisted_server_is_kept failed.

--- a/src/jujubespan/mesh/announced_leaving_test.cpp
+++ b/src/jujubespan/mesh/announced_leaving_test.cpp
@@ -61,6 +61,30 @@
     EXPECT_EQ(fleet.arrivals_between(0, since, fleet.now()), 0U);
 }
 
+// Guards against an announcement being lost that arrives while the entry is
+// missing; the server's node, which knows it too, restarts meanwhile.
+TEST(announced_leaving, announcement_of_an_unlisted_server_is_kept)
+{
+    simulated_fleet fleet(4);
+    fleet.run(1s, 1600);
+    // All nodes have calls at the server when its entry vanishes.
+    fleet.servers[0].leaving = true;
+    fleet.servers[0].listed = false;
+    fleet.publish_instances();
+    fleet.run(500ms, 400);
+    fleet.restart_node(0);
+    fleet.servers[0].listed = true;
+    const auto relisted = fleet.now();
+    fleet.publish_instances();
+    fleet.run(1s, 400);
+    EXPECT_GE(fleet.told_node_count(0), 2U);
+    EXPECT_EQ(fleet.arrivals_from_told(0, relisted), 0U);
+    fleet.run(drain_time, 400);
+    const auto since = fleet.now();
+    fleet.run(1s, 400);
+    EXPECT_EQ(fleet.arrivals_between(0, since, fleet.now()), 0U);
+}
+
 TEST(announced_leaving, new_lifetime_of_the_same_id_gets_requests)
 {
     simulated_fleet fleet(4);
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -316,13 +316,14 @@
 
 void egress::record_leaving(const open_call& call, const routed_reply& reply)
 {
-    const auto listed = incarnations_.find(call.instance);
-    if (!reply.leaving_incarnation || listed == incarnations_.end())
+    if (!reply.leaving_incarnation)
     {
         return;
     }
     shared_.leaving.record(call.instance, *reply.leaving_incarnation);
-    if (shared_.leaving.contains(call.instance, listed->second) &&
+    const auto listed = incarnations_.find(call.instance);
+    if (listed != incarnations_.end() &&
+        shared_.leaving.contains(call.instance, listed->second) &&
         balancer_of(call.message.service).on_backend_leaving(call.instance))
     {
         log(log_level::info, "instance_leaving",
--- a/src/jujubespan/mesh/fleet_testing.hpp
+++ b/src/jujubespan/mesh/fleet_testing.hpp
@@ -28,6 +28,7 @@
     {
         time_point at;
         std::size_t server{0};
+        std::size_t origin{0}; ///< Node that the client sent it to.
     };
 
     /// @brief Behaviour of a backend server.
@@ -88,6 +89,8 @@
     /// @brief Replaces the process of a node. Its backend server goes on.
     void restart_node(std::size_t index)
     {
+        std::erase_if(told_leaving_, [index](const auto& entry)
+                      { return entry.first.first == index; });
         nodes_[index] = std::make_unique<node>(*this, index);
         nodes_[index]->apply(make_directory());
     }
@@ -116,6 +119,29 @@
                           }));
     }
 
+    /// @brief Number of arrivals at a server from nodes that had passed on its
+    /// announcement that it leaves before `since`.
+    [[nodiscard]] std::size_t arrivals_from_told(std::size_t server,
+                                                 time_point since) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            arrivals_.begin(), arrivals_.end(),
+            [&](const arrival& item)
+            {
+                const auto told = told_leaving_.find({item.origin, server});
+                return item.server == server && item.at >= since &&
+                       told != told_leaving_.end() && told->second < since;
+            }));
+    }
+
+    [[nodiscard]] std::size_t told_node_count(std::size_t server) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(told_leaving_.begin(), told_leaving_.end(),
+                          [server](const auto& entry)
+                          { return entry.first.second == server; }));
+    }
+
     /// @brief Largest number of arrivals at a server within any window that
     /// begins at `since` or later.
     [[nodiscard]] std::size_t most_arrivals(std::size_t server, duration window,
@@ -142,6 +168,15 @@
     static constexpr duration service_time = std::chrono::milliseconds(100);
     static constexpr std::uint32_t slots = 50;
 
+    // Without the prefix of the headers that only nodes may send.
+    static header_names make_names()
+    {
+        header_names names;
+        names.rate_limit = "Rate-Limit";
+        names.leaving = "Leaving";
+        return names;
+    }
+
     // Events of a replaced process are dropped: they hold its weak pointer.
     struct process
     {
@@ -157,7 +192,8 @@
             : fleet(owner), index(own_index),
               guard(guard_options_of(own_index), shared, *this, *this,
                     owner.now_),
-              egress({"s", "zone-a", {}}, shared, *this, *this, own_index + 1)
+              egress({"s", "zone-a", names}, shared, *this, *this,
+                     own_index + 1)
         {
             route value;
             value.name = "read";
@@ -180,6 +216,7 @@
             value.service = "s";
             value.backend_address = backend_address_of(own_index);
             value.fleet_starting = true;
+            value.names = make_names();
             return value;
         }
 
@@ -193,6 +230,11 @@
         void respond(std::uint64_t /*exchange*/,
                      const http_response& response) override
         {
+            if (!find_header(response.headers, names.leaving).empty())
+            {
+                fleet.told_leaving_.try_emplace(
+                    {index, std::stoul(response.body)}, fleet.now_);
+            }
             constexpr unsigned refused = 503;
             constexpr unsigned first_failure = 500;
             auto& result = fleet.counts_;
@@ -259,10 +301,10 @@
 
         void start(std::uint64_t call, const http_request& request) override
         {
-            fleet.arrivals_.push_back({fleet.now_, index});
-            running.insert(call);
             const auto id =
                 std::string(find_header(request.headers, names.request_id));
+            fleet.arrivals_.push_back({fleet.now_, index, fleet.origin_of(id)});
+            running.insert(call);
             fleet.schedule(*this, service_time,
                            [this, call, id] { finish(call, id); });
         }
@@ -277,7 +319,9 @@
             }
             const auto& state = fleet.servers[index];
             http_response response{
-                200, {{names.signature, "x"}, {names.request_id, id}}, "body"};
+                200,
+                {{names.signature, "x"}, {names.request_id, id}},
+                std::to_string(index)};
             if (state.rate_limit)
             {
                 response.headers.push_back(
@@ -294,7 +338,7 @@
         simulated_fleet& fleet;
         std::size_t index;
         std::shared_ptr<process> alive{std::make_shared<process>()};
-        header_names names;
+        header_names names{make_names()};
         mesh_state shared;
         instance_directory directory;
         mesh::guard guard;
@@ -342,13 +386,19 @@
         return directory;
     }
 
+    [[nodiscard]] std::size_t origin_of(const std::string& request_id) const
+    {
+        const auto number = request_id.substr(request_id.find('-') + 1);
+        return std::stoul(number) % nodes_.size();
+    }
+
     void send_request()
     {
         const auto number = next_request_++;
         http_request message;
         message.method = "GET";
         message.target = "/1";
-        const header_names names;
+        const header_names names = make_names();
         message.headers = {{"Host", "shop.example"},
                            {names.request_id, "id-" + std::to_string(number)},
                            {names.deadline, "5000"}};
@@ -386,6 +436,8 @@
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<std::unique_ptr<node>> nodes_;
     std::vector<arrival> arrivals_;
+    // When a node first passed on that a server leaves.
+    std::map<std::pair<std::size_t, std::size_t>, time_point> told_leaving_;
     counts counts_;
     std::uint64_t next_request_{1};
     std::uint64_t next_exchange_{1};
