Wait for responses to be sent before a planned stop ends

A node that stopped ended 2.8 s after SIGTERM once no call was in flight. A response that a slow client was still reading was cut off, although four more seconds remained.

two_nodes.draining_node_waits_until_its_responses_are_sent failed before; the wait ends with the stop grace as before, and drain_cut tells of it.

--- a/include/jujubespan/http/server.hpp
+++ b/include/jujubespan/http/server.hpp
@@ -67,6 +67,9 @@
 
     /// @brief Bytes of all unanswered requests.
     [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
+    /// @brief True while a part of a response waits for its client to read.
+    [[nodiscard]] bool has_unsent_responses() const;
+
     [[nodiscard]] std::size_t connection_count() const
     {
         return connections_.size();
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -6,6 +6,7 @@
 #include <QPointer>
 #include <QTcpSocket>
 
+#include <algorithm>
 #include <sys/socket.h>
 #include <vector>
 
@@ -151,6 +152,11 @@
         return !parser_.has_started() && idle_time > limits.idle_timeout;
     }
 
+    [[nodiscard]] bool has_unsent_bytes() const
+    {
+        return socket_->bytesToWrite() > 0;
+    }
+
     void close_if_idle()
     {
         if (exchange_ == 0 && !parser_.has_started())
@@ -365,6 +371,13 @@
     }
 }
 
+bool server::has_unsent_responses() const
+{
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [](const auto& entry)
+                       { return entry.first->has_unsent_bytes(); });
+}
+
 std::vector<server_connection*> server::all_connections() const
 {
     std::vector<server_connection*> result;
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -241,13 +241,16 @@
         guard_.stop_admitting();
     }
     const bool timed_out = elapsed >= options_.stop_grace - stop_safety_margin;
-    if (!timed_out && (elapsed < deregistration_time || in_flight > 0))
+    if (!timed_out && (elapsed < deregistration_time || in_flight > 0 ||
+                       client_server_.has_unsent_responses()))
     {
         return;
     }
-    if (in_flight > 0)
+    if (const bool unsent = client_server_.has_unsent_responses();
+        in_flight > 0 || unsent)
     {
-        log(log_level::warn, "drain_cut", "in_flight={}", in_flight);
+        log(log_level::warn, "drain_cut", "in_flight={} unsent_responses={}",
+            in_flight, unsent);
     }
     const auto callback = std::move(on_drained_);
     on_drained_ = nullptr;
--- a/src/jujubespan/node/mesh_loop_test.cpp
+++ b/src/jujubespan/node/mesh_loop_test.cpp
@@ -9,6 +9,9 @@
 
 #include <gtest/gtest.h>
 
+#include <QHostAddress>
+#include <QTcpSocket>
+
 #include <atomic>
 #include <map>
 
@@ -273,5 +276,34 @@
     EXPECT_TRUE(wait_for([&] { return drained.load(); }));
 }
 
+// Guards against a planned stop cutting off a response that a slow client is
+// still reading.
+TEST_F(two_nodes, draining_node_waits_until_its_responses_are_sent)
+{
+    constexpr std::size_t body_bytes = 24U << 20U; // more than sockets buffer
+    backend.response.body = std::string(body_bytes, 'x');
+    QTcpSocket slow_client;
+    slow_client.setReadBufferSize(1024);
+    slow_client.connectToHost(QHostAddress(QString::fromStdString(
+                                  caller_settings.client_address.host)),
+                              caller_settings.client_address.port);
+    slow_client.write(http::serialize(request("id-1")));
+    ASSERT_TRUE(wait_for([&] { return slow_client.bytesAvailable() > 0; }));
+
+    std::atomic<bool> drained{false};
+    auto& loop = caller_node.loop();
+    loop.run_and_wait([&] { loop.begin_drain([&] { drained = true; }); });
+    EXPECT_FALSE(wait_for([&] { return drained.load(); }, 3500));
+    slow_client.setReadBufferSize(0);
+    std::size_t received = 0;
+    EXPECT_TRUE(wait_for(
+        [&]
+        {
+            received += static_cast<std::size_t>(slow_client.readAll().size());
+            return received > body_bytes;
+        }));
+    EXPECT_TRUE(wait_for([&] { return drained.load(); }, 1000));
+}
+
 } // namespace
 } // namespace jujubespan::node
