Let a stopping node send its last replies

A node ended up to 20 ms after its last call had ended, and dropped replies that ZeroMQ's thread had not sent yet (its sockets do not linger). The caller of a request that had run was then told that its outcome is unknown. The drain now ends when nothing has been in flight for 100 ms.

two_nodes.draining_node_ends_some_time_after_its_last_reply failed before (19 ms between the reply and the end; that a reply was lost was not seen).

--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -123,6 +123,7 @@
     bool leaving_{false};
     std::function<void()> on_drained_;
     time_point drain_started_at_{};
+    time_point last_busy_at_{}; ///< During the drain.
 };
 
 } // namespace jujubespan::node
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -39,6 +39,11 @@
 // only its header.
 constexpr duration min_receive_timeout = std::chrono::seconds(30);
 
+// The drain ends when nothing has been in flight for this long, since replies
+// to other nodes are sent by another thread, which drops them when the node
+// exits.
+constexpr duration drain_quiet_time = std::chrono::milliseconds(100);
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
@@ -240,14 +245,18 @@
         egress_.stop_admitting();
         guard_.stop_admitting();
     }
+    const bool unsent = client_server_.has_unsent_responses();
+    if (in_flight > 0 || unsent)
+    {
+        last_busy_at_ = now;
+    }
     const bool timed_out = elapsed >= options_.stop_grace - stop_safety_margin;
-    if (!timed_out && (elapsed < deregistration_time || in_flight > 0 ||
-                       client_server_.has_unsent_responses()))
+    if (!timed_out && (elapsed < deregistration_time ||
+                       now - last_busy_at_ < drain_quiet_time))
     {
         return;
     }
-    if (const bool unsent = client_server_.has_unsent_responses();
-        in_flight > 0 || unsent)
+    if (in_flight > 0 || unsent)
     {
         log(log_level::warn, "drain_cut", "in_flight={} unsent_responses={}",
             in_flight, unsent);
--- a/src/jujubespan/node/mesh_loop_test.cpp
+++ b/src/jujubespan/node/mesh_loop_test.cpp
@@ -276,6 +276,27 @@
     EXPECT_TRUE(wait_for([&] { return drained.load(); }));
 }
 
+// Guards against the last replies of a stopping node being dropped, because the
+// thread that sends them ends with the process.
+TEST_F(two_nodes, draining_node_ends_some_time_after_its_last_reply)
+{
+    using clock = std::chrono::steady_clock;
+    backend.unresponsive = true;
+    std::atomic<bool> drained{false};
+    auto& loop = callee_node.loop();
+    loop.run_and_wait([&] { loop.begin_drain([&] { drained = true; }); });
+    wait_for([] { return false; }, 2500);
+    client.client.start(1, request("id-1"));
+    ASSERT_TRUE(wait_for([&] { return backend.requests.size() == 1; }));
+    wait_for([] { return false; }, 700);
+    EXPECT_FALSE(drained);
+    backend.server.respond(1, backend.response);
+    ASSERT_TRUE(wait_for([&] { return client.status(1) == 200; }));
+    const auto answered_at = clock::now();
+    EXPECT_TRUE(wait_for([&] { return drained.load(); }, 1000));
+    EXPECT_GE(clock::now() - answered_at, std::chrono::milliseconds(70));
+}
+
 // Guards against a planned stop cutting off a response that a slow client is
 // still reading.
 TEST_F(two_nodes, draining_node_waits_until_its_responses_are_sent)
