Keep avoiding a limited instance when its limit changes

A caller that was refused for an instance's rate limit forgot it with the next reply if the announced limit had changed, or was new to it, and logged a line for each change. Only the end of the limit ends the avoidance now, and only begin and end are logged. balancer_test.changed_rate_limit_does_not_end_the_avoidance failed before.

--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -57,7 +57,7 @@
 
     /// @brief Records the rate limit of an instance, in requests per second;
     /// nothing: it has none.
-    /// @return true when it has changed.
+    /// @return true when a limit begins or ends.
     bool on_rate_limit(std::string_view id, std::optional<double> rate_limit);
 
     [[nodiscard]] std::optional<double> rate_limit(std::string_view id) const;
--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -362,13 +362,17 @@
                              std::optional<double> rate_limit)
 {
     member* m = find(id);
-    if (m == nullptr || m->rate_limit == rate_limit)
+    if (m == nullptr)
     {
         return false;
     }
+    const bool changed = m->rate_limit.has_value() != rate_limit.has_value();
     m->rate_limit = rate_limit;
-    m->paced_until = {};
-    return true;
+    if (!rate_limit)
+    {
+        m->paced_until = {};
+    }
+    return changed;
 }
 
 std::optional<double> balancer::rate_limit(std::string_view id) const
--- a/src/jujubespan/mesh/balancer_test.cpp
+++ b/src/jujubespan/mesh/balancer_test.cpp
@@ -276,6 +276,21 @@
     EXPECT_LT(send(150, {}, latencies)["b"], 15);
 }
 
+// A server may announce a slightly different limit in each response.
+TEST_F(balancer_test, changed_rate_limit_does_not_end_the_avoidance)
+{
+    target.on_attempt_end("a", attempt_outcome::paced, {}, now);
+    EXPECT_TRUE(target.on_rate_limit("a", 20));
+    EXPECT_FALSE(target.on_rate_limit("a", 20.5));
+    EXPECT_EQ(target.rate_limit("a"), 20.5);
+    for (int i = 0; i < 20; ++i)
+    {
+        EXPECT_NE(target.pick({}, random, now), "a");
+    }
+    EXPECT_TRUE(target.on_rate_limit("a", std::nullopt));
+    EXPECT_GT(send(200)["a"], 0);
+}
+
 // Guards against a service being refused requests while its servers in need
 // could take them: an instance that refused for its rate limit is avoided, but
 // not when all others do so too.
