Log and count the end of a backend server with the requests it was running

The logs could not tell the hypotheses of the incident apart: no line said that a server's process ended, under which requests, or that two requests have the same content. A failed exchange is now followed by a probe; a refused connection shows the end of the process. backend_ended names the requests in progress by fingerprints, backend_failed and request_sent_again carry one, and jujubespan_backend_ends_total counts. Nothing decides by it yet.

--- a/include/jujubespan/backend/backend_client.hpp
+++ b/include/jujubespan/backend/backend_client.hpp
@@ -36,10 +36,12 @@
 
     void start(std::uint64_t call, const http_request& request) override;
     void cancel(std::uint64_t call) override;
+    bool probe() override;
 
 private:
     void on_exchange_end(std::uint64_t exchange, http::exchange_result result,
                          http_response response) override;
+    void on_probe_end(http::probe_result result) override;
 
     engine::backend_events* event_handler_{nullptr};
     http::client client_;
--- a/include/jujubespan/engine/call.hpp
+++ b/include/jujubespan/engine/call.hpp
@@ -73,6 +73,14 @@
     failed       ///< The request was sent, but no complete answer arrived.
 };
 
+/// @brief Whether a backend server's process accepts connections.
+enum class backend_probe_result
+{
+    accepted,
+    refused, ///< No process listens at its address.
+    unknown  ///< Neither became known in time.
+};
+
 /// @brief The backend server of this node.
 class backend_port
 {
@@ -84,6 +92,11 @@
 
     /// @brief Cancels a request; its end is not reported.
     virtual void cancel(std::uint64_t call) = 0;
+
+    /// @brief Tries to open a connection; the result is reported to
+    /// `backend_events`.
+    /// @return false when the port cannot probe.
+    virtual bool probe() { return false; }
 };
 
 /// @brief Receives the ends of exchanges with the backend server.
@@ -95,6 +108,11 @@
     virtual void on_backend_exchange_end(std::uint64_t call, backend_end end,
                                          http_response response,
                                          time_point now) = 0;
+
+    virtual void on_backend_probe_end(backend_probe_result /*result*/,
+                                      time_point /*now*/)
+    {
+    }
 };
 
 /// @brief The nodes of other instances.
--- a/include/jujubespan/http/client.hpp
+++ b/include/jujubespan/http/client.hpp
@@ -26,6 +26,14 @@
     failed       ///< Sent, but no complete response arrived.
 };
 
+/// @brief Outcome of a probe.
+enum class probe_result
+{
+    accepted,
+    refused, ///< No process listens at the address.
+    unknown  ///< Not connected in time, or failed for another reason.
+};
+
 /// @brief Limits and connection handling of a client.
 struct client_options
 {
@@ -62,6 +70,8 @@
 
     virtual void on_exchange_end(std::uint64_t exchange, exchange_result result,
                                  http_response response) = 0;
+
+    virtual void on_probe_end(probe_result /*result*/) {}
 };
 
 /// @brief HTTP/1.1 client of one server, on the Qt event loop of its thread.
@@ -86,6 +96,11 @@
     /// @brief Closes the connection of an exchange without reporting a result.
     void cancel(std::uint64_t exchange);
 
+    /// @brief Opens a connection to learn whether the server's process runs.
+    /// The connection is kept for later exchanges. Does nothing while another
+    /// probe is in progress.
+    void probe();
+
     /// @brief Sets the maximum number of open connections.
     void set_max_connections(std::size_t max_connections)
     {
@@ -117,6 +132,7 @@
                          http_response response, bool reusable);
     std::unique_ptr<client_connection> take_idle_connection(bool idempotent,
                                                             time_point now);
+    void finish_probe(probe_result result);
     void remove_idle_connection(client_connection* connection);
     void remove_expired_connections(time_point now);
 
@@ -128,7 +144,8 @@
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<client_connection>>
         active_connections_;
     std::vector<std::unique_ptr<client_connection>>
-        idle_connections_; // longest idle first
+        idle_connections_;                     // longest idle first
+    std::unique_ptr<client_connection> probe_; // null: none in progress
 };
 
 } // namespace jujubespan::http
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -6,7 +6,9 @@
 #include "jujubespan/mesh/call.hpp"
 #include "jujubespan/mesh/egress.hpp"
 #include "jujubespan/mesh/instance_directory.hpp"
+#include "jujubespan/mesh/request_fingerprint.hpp"
 #include "jujubespan/mesh/server_announcement.hpp"
+#include "jujubespan/mesh/server_end_detector.hpp"
 
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
@@ -15,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace jujubespan::mesh
 {
@@ -56,6 +59,8 @@
     void on_backend_exchange_end(std::uint64_t call, engine::backend_end end,
                                  http_response response,
                                  time_point now) override;
+    void on_backend_probe_end(engine::backend_probe_result result,
+                              time_point now) override;
 
     /// @brief Ends calls whose deadline has passed and starts queued calls; to
     /// be called every ten to twenty milliseconds.
@@ -89,6 +94,7 @@
         time_point started_at{};
         bool running{false};
         std::size_t body_bytes{0};
+        request_fingerprint fingerprint{0}; // valid while running
     };
 
     using call_map = absl::flat_hash_map<std::uint64_t, pending_call>;
@@ -109,6 +115,8 @@
     [[nodiscard]] engine::reason full_queue_reason(time_point now) const;
     [[nodiscard]] std::uint64_t incarnation_of(std::string_view id) const;
     [[nodiscard]] bool announced_leaving(std::string_view id) const;
+    void record_failed_exchange(const pending_call& call, time_point now);
+    void record_server_end(time_point now);
     void finish_call(call_map::iterator found, routed_reply reply,
                      time_point now);
     pending_call remove_call(call_map::iterator found);
@@ -128,6 +136,9 @@
     bool stopped_admitting_{false};
     server_announcement announcement_; // of the latest readable response
     announced_limit rate_limit_;
+    server_end_detector end_detector_;
+    // Calls whose exchanges failed since the probe in progress was sent.
+    std::vector<request_fingerprint> failed_while_probing_;
     call_map calls_; // by exchange id
     std::size_t body_bytes_{0};
     absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
--- a/include/jujubespan/mesh/mesh_metrics.hpp
+++ b/include/jujubespan/mesh/mesh_metrics.hpp
@@ -36,6 +36,8 @@
     std::uint64_t clients_disconnected{0};
     std::uint64_t late_replies{0};
     std::uint64_t backend_starts{0};
+    /// Ends of the own backend server's process.
+    std::uint64_t backend_ends{0};
     /// Requests per second announced by the own backend server.
     std::optional<double> backend_rate_limit;
     bool backend_leaving{false}; ///< Announced by the own backend server.
--- a/src/jujubespan/backend/backend_client.cpp
+++ b/src/jujubespan/backend/backend_client.cpp
@@ -20,6 +20,20 @@
     return engine::backend_end::failed;
 }
 
+engine::backend_probe_result to_backend_probe_result(http::probe_result result)
+{
+    switch (result)
+    {
+    case http::probe_result::accepted:
+        return engine::backend_probe_result::accepted;
+    case http::probe_result::refused:
+        return engine::backend_probe_result::refused;
+    case http::probe_result::unknown:
+        break;
+    }
+    return engine::backend_probe_result::unknown;
+}
+
 } // namespace
 
 backend_client::backend_client(const config::settings& options)
@@ -46,6 +60,18 @@
     client_.cancel(call);
 }
 
+bool backend_client::probe()
+{
+    client_.probe();
+    return true;
+}
+
+void backend_client::on_probe_end(http::probe_result result)
+{
+    event_handler_->on_backend_probe_end(to_backend_probe_result(result),
+                                         boot_clock::now());
+}
+
 void backend_client::on_exchange_end(std::uint64_t exchange,
                                      http::exchange_result result,
                                      http_response response)
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -105,21 +105,14 @@
             send_request();
             return;
         }
-        const auto& address = owner_.address_;
-        ++owner_.connect_attempts_;
-        socket_->connectToHost(
-            QHostAddress(QString::fromStdString(address.host)), address.port);
-        const auto timeout =
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                owner_.options_.connect_timeout);
-        QTimer::singleShot(timeout, &context_object_,
-                           [this]
-                           {
-                               if (!request_sent_ && exchange_ != 0)
-                               {
-                                   on_disconnected();
-                               }
-                           });
+        open();
+    }
+
+    /// @brief Opens a connection that carries no exchange yet.
+    void probe()
+    {
+        probing_ = true;
+        open();
     }
 
     [[nodiscard]] bool is_usable() const
@@ -145,6 +138,26 @@
     [[nodiscard]] time_point idle_since() const { return idle_since_; }
 
 private:
+    void open()
+    {
+        const auto& address = owner_.address_;
+        ++owner_.connect_attempts_;
+        socket_->connectToHost(
+            QHostAddress(QString::fromStdString(address.host)), address.port);
+        const auto timeout =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                owner_.options_.connect_timeout);
+        QTimer::singleShot(timeout, &context_object_,
+                           [this]
+                           {
+                               if (probing_ ||
+                                   (!request_sent_ && exchange_ != 0))
+                               {
+                                   on_disconnected();
+                               }
+                           });
+    }
+
     void reset_parser()
     {
         parser_.emplace(owner_.options_.limits, head_request_,
@@ -159,6 +172,12 @@
             enable_dead_peer_detection(*socket_,
                                        owner_.options_.dead_peer_timeout);
         }
+        if (probing_)
+        {
+            probing_ = false;
+            owner_.finish_probe(probe_result::accepted);
+            return;
+        }
         if (exchange_ != 0)
         {
             send_request();
@@ -313,6 +332,15 @@
 
     void on_disconnected()
     {
+        if (probing_)
+        {
+            probing_ = false;
+            owner_.finish_probe(socket_->error() ==
+                                        QAbstractSocket::ConnectionRefusedError
+                                    ? probe_result::refused
+                                    : probe_result::unknown);
+            return;
+        }
         if (exchange_ == 0)
         {
             owner_.remove_idle_connection(this);
@@ -336,6 +364,7 @@
     std::uint64_t exchange_{0};
     bool head_request_{false};
     bool request_sent_{false};
+    bool probing_{false};
     unsigned skipped_responses_{0}; // to earlier requests
     std::size_t buffered_bytes_{0}; // part of owner_.buffered_bytes_
     time_point usable_until_{};
@@ -432,6 +461,28 @@
     active_connections_.erase(exchange);
 }
 
+void client::probe()
+{
+    if (probe_)
+    {
+        return;
+    }
+    probe_ = std::make_unique<client_connection>(*this);
+    probe_->probe();
+}
+
+void client::finish_probe(probe_result result)
+{
+    auto connection = std::move(probe_);
+    if (result == probe_result::accepted &&
+        idle_connections_.size() < options_.max_idle_connections)
+    {
+        connection->mark_idle(options_.idle_timeout, boot_clock::now());
+        idle_connections_.push_back(std::move(connection));
+    }
+    handler_.on_probe_end(result);
+}
+
 void client::finish_exchange(client_connection* connection,
                              exchange_result result, http_response response,
                              bool reusable)
--- a/src/jujubespan/http/client_test.cpp
+++ b/src/jujubespan/http/client_test.cpp
@@ -151,6 +151,28 @@
     EXPECT_EQ(handler.results[1].first, exchange_result::unreachable);
 }
 
+TEST(http_client, probe_tells_whether_a_process_listens)
+{
+    recorder handler;
+    client refused(free_endpoint(), {}, 4, handler);
+    refused.probe();
+    ASSERT_TRUE(wait_for([&] { return handler.probes.size() == 1; }));
+    EXPECT_EQ(handler.probes[0], probe_result::refused);
+
+    scripted_backend backend(
+        [](QTcpSocket& socket)
+        { socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); });
+    client accepted(backend.endpoint(), {}, 4, handler);
+    accepted.probe();
+    accepted.probe(); // Joins the one in progress.
+    ASSERT_TRUE(wait_for([&] { return handler.probes.size() == 2; }));
+    EXPECT_EQ(handler.probes[1], probe_result::accepted);
+    accepted.start(1, make_post()); // On the connection of the probe.
+    ASSERT_TRUE(wait_for([&] { return handler.results.contains(1); }));
+    EXPECT_EQ(handler.results[1].second.body, "ok");
+    EXPECT_EQ(accepted.connect_attempts(), 1U);
+}
+
 TEST(http_client, opens_one_connection_per_concurrent_request)
 {
     scripted_backend backend([](QTcpSocket&) {});
--- a/src/jujubespan/http/recorder_testing.hpp
+++ b/src/jujubespan/http/recorder_testing.hpp
@@ -30,9 +30,15 @@
         results[exchange] = {result, std::move(response)};
     }
 
+    void on_probe_end(probe_result result) override
+    {
+        probes.push_back(result);
+    }
+
     std::map<std::uint64_t, http_request> requests;
     std::vector<std::uint64_t> disconnected;
     std::map<std::uint64_t, std::pair<exchange_result, http_response>> results;
+    std::vector<probe_result> probes;
 };
 
 } // namespace jujubespan::http::testing
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -4,6 +4,7 @@
 
 #include "jujubespan/engine/http_mapping.hpp"
 #include "jujubespan/mesh/attempt_outcome.hpp"
+#include "jujubespan/mesh/request_fingerprint.hpp"
 #include "jujubespan/mesh/server_announcement.hpp"
 #include "jujubespan/metrics/log.hpp"
 
@@ -434,8 +435,11 @@
         call.server_error = last;
     }
     log(log_level::info, "request_sent_again",
-        "request={} route={} instance={} outcome={} reason={} tried={}",
+        "request={} route={} instance={} fingerprint={} outcome={} reason={} "
+        "tried={}",
         call.message.request_id, call.message.route, call.instance,
+        to_text(
+            fingerprint_of(call.message.caller_service, call.message.request)),
         to_string(last.result), to_string(last.reason),
         call.tried_instances.size());
     dispatch(std::move(call), last, now);
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 
 namespace jujubespan::mesh
 {
@@ -60,6 +61,21 @@
     return status >= first && status <= last;
 }
 
+// A line of the log holds this many.
+constexpr std::size_t max_logged_fingerprints = 100;
+
+std::string join_fingerprints(std::span<const request_fingerprint> values)
+{
+    std::string text;
+    for (const auto value :
+         values.first(std::min(values.size(), max_logged_fingerprints)))
+    {
+        text += text.empty() ? "" : ",";
+        text += to_text(value);
+    }
+    return text;
+}
+
 bool may_succeed_elsewhere(reason cause)
 {
     return cause != reason::deadline && cause != reason::cancelled;
@@ -202,6 +218,7 @@
     call.running = true;
     call.started_at = now;
     const auto& message = call.message;
+    call.fingerprint = fingerprint_of(message.caller_service, message.request);
     // Counted only when the call starts: a call that is refused here may be
     // sent to another guard, which counts it as well.
     if (message.client_request && message.retry == retry_cause::none)
@@ -381,6 +398,7 @@
     switch (end)
     {
     case engine::backend_end::answered:
+        end_detector_.on_response();
         record_announcement(found->second, response, now);
         reply.answer = classify_response(std::move(response));
         break;
@@ -389,17 +407,19 @@
         break;
     case engine::backend_end::failed:
         reply.answer = engine::make_unknown_outcome(reason::backend_failed);
+        record_failed_exchange(found->second, now);
         break;
     }
     if (reply.answer.result != outcome::answered)
     {
         const auto& call = found->second;
         log(log_level::info, "backend_failed",
-            "request={} route={} instance={} outcome={} reason={} "
-            "after_ms={} running={}",
+            "request={} route={} instance={} fingerprint={} outcome={} "
+            "reason={} after_ms={} running={}",
             call.message.request_id, call.message.route, call.message.instance,
-            to_string(reply.answer.result), to_string(reply.answer.reason),
-            milliseconds(now - call.started_at), gate_.running());
+            to_text(call.fingerprint), to_string(reply.answer.result),
+            to_string(reply.answer.reason), milliseconds(now - call.started_at),
+            gate_.running());
     }
     if (reply.answer.reason == reason::backend_refused)
     {
@@ -409,6 +429,52 @@
     run_queued_calls(now);
 }
 
+void guard::record_failed_exchange(const pending_call& call, time_point now)
+{
+    switch (end_detector_.on_exchange_failed(call.started_at, now))
+    {
+    case server_end_detector::finding::probe_needed:
+        failed_while_probing_.assign(1, call.fingerprint);
+        backend_.probe();
+        return;
+    case server_end_detector::finding::undecided:
+        failed_while_probing_.push_back(call.fingerprint);
+        return;
+    case server_end_detector::finding::ended:
+        return;
+    }
+}
+
+void guard::on_backend_probe_end(engine::backend_probe_result result,
+                                 time_point now)
+{
+    if (end_detector_.on_probe_end(result, now))
+    {
+        record_server_end(now);
+    }
+}
+
+void guard::record_server_end(time_point now)
+{
+    auto requests = std::move(failed_while_probing_);
+    failed_while_probing_.clear();
+    for (const auto& [id, call] : calls_)
+    {
+        if (call.running && call.started_at < now)
+        {
+            requests.push_back(call.fingerprint);
+        }
+    }
+    ++shared_.metrics.backend_ends;
+    const auto* own =
+        instances_ == nullptr
+            ? nullptr
+            : instances_->find_by_backend_address(options_.backend_address);
+    log(log_level::warn, "backend_ended",
+        "instance={} running={} fingerprints={}", own == nullptr ? "" : own->id,
+        requests.size(), join_fingerprints(requests));
+}
+
 guard::pending_call guard::remove_call(call_map::iterator found)
 {
     pending_call call = std::move(found->second);
@@ -510,6 +576,7 @@
         reply.answer = engine::make_unknown_outcome(reason::deadline);
         finish_call(found, std::move(reply), now);
     }
+    end_detector_.give_up_probe(now);
     for (const auto id : gate_.update_level(now))
     {
         refuse_call(id, reason::deadline, now);
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -110,6 +110,9 @@
     add_counter(out, "jujubespan_backend_starts_total",
                 "Requests sent to the own backend server.",
                 static_cast<double>(counts.backend_starts));
+    add_counter(out, "jujubespan_backend_ends_total",
+                "Times that the process of the own backend server ended.",
+                static_cast<double>(counts.backend_ends));
     add_counter(out, "jujubespan_backend_connects_total",
                 "Connections opened to the own backend server.",
                 static_cast<double>(traffic.backend_connect_attempts));
