--- a/src/jujubespan/mesh/fleet_testing.hpp
+++ b/src/jujubespan/mesh/fleet_testing.hpp
@@ -10,8 +10,8 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -29,6 +29,15 @@
         time_point at;
         std::size_t server{0};
         std::size_t origin{0}; ///< Node that the client sent it to.
+        std::string target;
+    };
+
+    /// @brief The end of a backend server's process.
+    struct crash
+    {
+        time_point at;
+        std::size_t server{0};
+        std::vector<std::string> running; ///< Targets of its requests.
     };
 
     /// @brief Behaviour of a backend server.
@@ -38,6 +47,7 @@
         bool leaving{false};                   ///< Sends the header.
         bool listed{true};
         std::uint64_t incarnation{1};
+        std::optional<time_point> down_since; ///< Its process has ended.
     };
 
     /// @brief Outcomes of the requests of clients.
@@ -68,8 +78,14 @@
             requests_due_ += requests_per_second * seconds(step);
             for (; requests_due_ >= 1; requests_due_ -= 1)
             {
-                send_request();
+                send_request("/item/" + std::to_string(next_request_));
+            }
+            crashing_due_ += crashing_per_second * seconds(step);
+            for (; crashing_due_ >= 1; crashing_due_ -= 1)
+            {
+                send_request(crashing_prefix);
             }
+            restart_servers();
             run_events();
             if (now_ >= next_tick_)
             {
@@ -95,6 +111,46 @@
         nodes_[index]->apply(make_directory());
     }
 
+    /// @brief Sends a request to the next node.
+    void send_request(std::string_view target)
+    {
+        const auto number = next_request_++;
+        http_request message;
+        message.method = "GET";
+        message.target = std::string(target);
+        const header_names names = make_names();
+        message.headers = {{"Host", "shop.example"},
+                           {names.request_id, "id-" + std::to_string(number)},
+                           {names.deadline, "5000"}};
+        nodes_[number % nodes_.size()]->egress.on_request(
+            number, std::move(message), now_);
+    }
+
+    /// @brief Ends the process of a server. It returns after `downtime`.
+    void crash_server(std::size_t index)
+    {
+        auto& state = servers[index];
+        if (state.down_since)
+        {
+            return;
+        }
+        state.down_since = now_;
+        crashes_.push_back({now_, index, {}});
+        nodes_[index]->fail_running_calls(crashes_.back().running);
+    }
+
+    [[nodiscard]] const std::vector<crash>& crashes() const { return crashes_; }
+
+    /// @brief Number of arrivals of a target at all servers since a time.
+    [[nodiscard]] std::size_t arrivals_of(std::string_view target,
+                                          time_point since) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            arrivals_.begin(), arrivals_.end(),
+            [&](const arrival& item)
+            { return item.target == target && item.at >= since; }));
+    }
+
     /// @brief Publishes the instance list to all nodes.
     void publish_instances()
     {
@@ -159,13 +215,21 @@
         return most;
     }
 
+    /// Requests whose targets begin with it end the process of each server
+    /// that runs them.
+    static constexpr std::string_view crashing_prefix = "/crash";
+    static constexpr duration downtime = std::chrono::seconds(3);
+
     std::vector<server> servers;
+    double crashing_per_second{0}; ///< Requests for `crashing_prefix`.
 
 private:
     static constexpr duration step = std::chrono::milliseconds(1);
     static constexpr duration tick_interval = std::chrono::milliseconds(20);
     static constexpr duration hop_time = std::chrono::milliseconds(1);
     static constexpr duration service_time = std::chrono::milliseconds(100);
+    static constexpr duration time_to_crash = std::chrono::milliseconds(60);
+    static constexpr duration local_hop_time = std::chrono::microseconds(500);
     static constexpr std::uint32_t slots = 50;
 
     // Without the prefix of the headers that only nodes may send.
@@ -303,14 +367,68 @@
         {
             const auto id =
                 std::string(find_header(request.headers, names.request_id));
-            fleet.arrivals_.push_back({fleet.now_, index, fleet.origin_of(id)});
-            running.insert(call);
+            if (fleet.servers[index].down_since)
+            {
+                fleet.schedule(*this, local_hop_time,
+                               [this, call]
+                               {
+                                   guard.on_backend_exchange_end(
+                                       call, engine::backend_end::unreachable,
+                                       {}, fleet.now_);
+                               });
+                return;
+            }
+            fleet.arrivals_.push_back(
+                {fleet.now_, index, fleet.origin_of(id), request.target});
+            running.emplace(call, request.target);
+            if (request.target.starts_with(crashing_prefix))
+            {
+                fleet.schedule(*this, time_to_crash,
+                               [this, call]
+                               {
+                                   if (running.contains(call))
+                                   {
+                                       fleet.crash_server(index);
+                                   }
+                               });
+                return;
+            }
             fleet.schedule(*this, service_time,
                            [this, call, id] { finish(call, id); });
         }
 
         void cancel(std::uint64_t call) override { running.erase(call); }
 
+        bool probe() override
+        {
+            fleet.schedule(*this, local_hop_time,
+                           [this]
+                           {
+                               guard.on_backend_probe_end(
+                                   fleet.servers[index].down_since
+                                       ? engine::backend_probe_result::refused
+                                       : engine::backend_probe_result::accepted,
+                                   fleet.now_);
+                           });
+            return true;
+        }
+
+        void fail_running_calls(std::vector<std::string>& targets)
+        {
+            for (const auto& [call, target] : running)
+            {
+                targets.push_back(target);
+                fleet.schedule(*this, local_hop_time,
+                               [this, call = call]
+                               {
+                                   guard.on_backend_exchange_end(
+                                       call, engine::backend_end::failed, {},
+                                       fleet.now_);
+                               });
+            }
+            running.clear();
+        }
+
         void finish(std::uint64_t call, const std::string& id)
         {
             if (running.erase(call) == 0)
@@ -345,7 +463,8 @@
         mesh::egress egress;
         // Sending node and call, by exchange of the guard.
         std::map<std::uint64_t, std::pair<std::size_t, std::uint64_t>> senders;
-        std::set<std::uint64_t> running; // at the backend server
+        // Targets of the requests at the backend server, by call.
+        std::map<std::uint64_t, std::string> running;
     };
 
     static std::string backend_address_of(std::size_t index)
@@ -392,18 +511,23 @@
         return std::stoul(number) % nodes_.size();
     }
 
-    void send_request()
+    // Starts a new process of each server whose downtime has passed.
+    void restart_servers()
     {
-        const auto number = next_request_++;
-        http_request message;
-        message.method = "GET";
-        message.target = "/1";
-        const header_names names = make_names();
-        message.headers = {{"Host", "shop.example"},
-                           {names.request_id, "id-" + std::to_string(number)},
-                           {names.deadline, "5000"}};
-        nodes_[number % nodes_.size()]->egress.on_request(
-            number, std::move(message), now_);
+        bool restarted = false;
+        for (auto& state : servers)
+        {
+            if (state.down_since && now_ - *state.down_since >= downtime)
+            {
+                state.down_since.reset();
+                ++state.incarnation;
+                restarted = true;
+            }
+        }
+        if (restarted)
+        {
+            publish_instances();
+        }
     }
 
     void schedule(const node& sender, duration delay,
@@ -433,9 +557,11 @@
     time_point now_{std::chrono::seconds(1000)};
     time_point next_tick_{};
     double requests_due_{0};
+    double crashing_due_{0};
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<std::unique_ptr<node>> nodes_;
     std::vector<arrival> arrivals_;
+    std::vector<crash> crashes_;
     // When a node first passed on that a server leaves.
     std::map<std::pair<std::size_t, std::size_t>, time_point> told_leaving_;
     counts counts_;
