Soak: requests that end the servers which run them

Drawn on each route, with and without a body, from one calling service through any of its nodes, directly and as a call two services behind the entry, beside all other faults.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -11,6 +11,7 @@
 from soak.ledger import Arrival, SentRequest
 
 MEAN_EXECUTION_S = 0.02
+MAX_TIME_TO_CRASH_S = 0.05
 IDLE_TIMEOUT_S = 8.0
 
 
@@ -33,7 +34,9 @@
         self.grey = 0.0
         self.rate_limit = None  # requests per second that it announces
         self.leaving = False    # announces that it leaves
+        self.on_crash = None    # called when a request has ended the server
         self.server = None
+        self.running = False
         self.draining = False
         self.heartbeat_task = None
         self.begin_lifetime(new_id=True)
@@ -52,6 +55,7 @@
         self.writers = set()
 
     async def start(self):
+        self.running = True
         self.draining = False
         self.leaving = False
         self.server = await asyncio.start_server(
@@ -78,6 +82,7 @@
 
         Without `remove`, the instance's entry stays in the store.
         """
+        self.running = False
         self.heartbeat_task.cancel()
         self.server.close()
         for writer in list(self.writers):
@@ -139,7 +144,10 @@
             return True
         arrival.executed = True
         self.running_requests += 1
-        execution = asyncio.create_task(self.execute(message, request_id))
+        crashes = plan.CRASH_PART in message.words[1]
+        execution = asyncio.create_task(
+            self.crash(arrival, self.instance, self.started_at_ms) if crashes
+            else self.execute(message, request_id))
         disconnect = asyncio.create_task(reader.read(1))
         try:
             await asyncio.wait({execution, disconnect},
@@ -155,6 +163,15 @@
             disconnect.cancel()
             self.running_requests -= 1
 
+    async def crash(self, arrival, instance, started_at_ms):
+        """Ends the server process, as a request does that it cannot bear."""
+        await asyncio.sleep(self.random.uniform(0.001, MAX_TIME_TO_CRASH_S))
+        if (self.running and self.instance == instance
+                and self.started_at_ms == started_at_ms):
+            arrival.crashed = True
+            self.on_crash(self)
+        await asyncio.sleep(IDLE_TIMEOUT_S)
+
     async def execute(self, message, request_id):
         """Executes a request and returns the status of its response."""
         if self.random.random() < self.grey:
@@ -167,10 +184,14 @@
         service, call_count = plan.DOWNSTREAM_CALLS[self.config.service]
         for _ in range(call_count):
             suffix = f"{self.random.getrandbits(32):08x}"
+            target = f"/call/{suffix}"
+            if plan.CHAIN_PART in message.words[1]:
+                token = message.words[1].partition(plan.CHAIN_PART)[2]
+                target = "/call" + plan.CRASH_PART + token
             route = next(r for r in plan.initial_routes()
                          if r.name == "call-" + service)
             call = SentRequest(f"{request_id}.{suffix}", route,
-                               self.config.name, f"/call/{suffix}", b"",
+                               self.config.name, target, b"",
                                time.monotonic(), parent=request_id)
             await send_request(self.ledger, call,
                            self.config.listen_address("client"),
--- a/soak/client.py
+++ b/soak/client.py
@@ -66,6 +66,7 @@
         return None
     sent.outcome = "answered"
     sent.status = response.status
+    sent.reason = response.headers.get("jujubespan-reason", "")
     sent.detail = check_response(sent, response)
     record_announcements(ledger, sent, response)
     if (response.headers.get("connection", "").lower() == "close"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,9 @@
 import time
 
 import store_standin as platform_store
-from soak.ledger import RateLimit
+from soak import plan
+from soak.client import REQUEST_DEADLINE_S, send_request
+from soak.ledger import RateLimit, SentRequest
 
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
@@ -34,11 +36,15 @@
             self.change_store_mode, self.change_store_mode,
             self.compact_store, self.restore_store_copy,
             self.crash_backend, self.restart_backend, self.replace_backend,
+            self.send_crashing_request, self.send_crashing_request,
             self.slow_backend, self.lose_responses, self.corrupt_responses,
             self.fail_requests, self.close_idle_connections,
             self.announce_rate_limit, self.announce_leaving,
             self.change_route_targets, self.change_timeout,
             self.abandon_requests, self.increase_request_rate]
+        self.restart_tasks = set()
+        for server in fleet.backends:
+            server.on_crash = self.end_and_restart
 
     def draw_duration_s(self):
         return self.random.uniform(MIN_DURATION_S, MAX_DURATION_S)
@@ -52,6 +58,7 @@
             inject_fault = self.random.choice(self.fault_functions)
             tasks.add(asyncio.create_task(inject_fault()))
         await asyncio.gather(*tasks)
+        await asyncio.gather(*self.restart_tasks)
 
     def reserve_item(self, aspect, items):
         """Reserves a random item whose `aspect` no other fault disturbs.
@@ -262,6 +269,50 @@
             await server.start()
         await self.disturb_backend("crash", apply_fault, clear_fault)
 
+    def end_and_restart(self, server):
+        """Ends a backend server that a request has crashed."""
+        disturbance = self.ledger.begin_disturbance(
+            "backend-" + server.config.name, "crash by a request")
+        server.stop(remove=False)
+
+        async def restart():
+            await asyncio.sleep(self.random.uniform(0.5, 2.5))
+            while ("backend", server) in self.reserved:
+                await asyncio.sleep(0.05)
+            if not server.running:
+                self.reserved.add(("backend", server))
+                server.begin_lifetime(new_id=self.random.random() < 0.7)
+                await server.start()
+                self.release_item("backend", server)
+            self.ledger.end_disturbance(disturbance)
+        self.restart_tasks.add(asyncio.create_task(restart()))
+
+    async def send_crashing_request(self):
+        """Sends the same crashing request again and again.
+
+        It comes through any node of one service, beside all other faults.
+        """
+        route = self.random.choice(self.fleet.client_routes())
+        part = self.random.choice([plan.CRASH_PART, plan.CRASH_PART,
+                                   plan.CHAIN_PART])
+        target = (route.prefix.rstrip("/") + part
+                  + f"{self.random.getrandbits(32):08x}")
+        body = b"" if route.idempotent else b"x" * 2000
+        service = self.random.choice(plan.SERVICES)
+        nodes = [n for n in self.fleet.nodes if n.config.service == service]
+        self.ledger.add_log_line(f"{service}: {target} begins")
+        until = time.monotonic() + self.random.uniform(5, 10)
+        while time.monotonic() < until:
+            node = self.random.choice(nodes)
+            sent = SentRequest(f"{self.random.getrandbits(64):016x}", route,
+                               node.config.name, target, body,
+                               time.monotonic())
+            await send_request(self.ledger, sent,
+                               node.config.listen_address("client"),
+                               REQUEST_DEADLINE_S)
+            await asyncio.sleep(self.random.uniform(0.02, 0.5))
+        self.ledger.add_log_line(f"{service}: {target} ends")
+
     async def restart_backend(self):
         async def apply_fault(server):
             server.stop(remove=False)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -134,6 +134,7 @@
             f"requests {len(self.ledger.sent)} served {served} "
             f"arrivals {len(self.ledger.arrivals)} "
             f"disturbances {len(self.ledger.disturbances)} "
+            f"crashes {sum(a.crashed for a in self.ledger.arrivals)} "
             f"after {successful}/{requests} "
             f"unjudged {checker.skipped_timing_checks} "
             f"lag_ms {max_lag_s * 1000:.0f}")
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -20,6 +20,7 @@
     parent: str = ""    # id of the request that made this call
     reused_connection: bool = False
     status: int = 0     # 0: no response
+    reason: str = ""    # of a response that a node made itself
     ended: float = 0
     # answered; closed: the connection ended without a valid response;
     # gave-up: abandoned by the sender, or without a response at its deadline;
@@ -40,6 +41,7 @@
     caller: str
     matches: bool        # target and body are those that were sent
     finished: bool = False  # its execution has completed
+    crashed: bool = False   # it ended the server
     cancelled_at: float = 0
     ended: float = 0     # time at which its execution completed or stopped
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -14,6 +14,10 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 30
 RETRY_WINDOW_S = 10
+# Backend servers end while they execute a request with CRASH_PART in its
+# target. One with CHAIN_PART makes calls with CRASH_PART.
+CRASH_PART = "/crash-"
+CHAIN_PART = "/chain-"
 
 
 @dataclass
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -29,11 +29,19 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_SLACK = 5
 LIMIT_TOLD_S = 0.5
+# A request that has ended CRASH_THRESHOLD backend servers may reach servers in
+# MAX_LATE_RETRIES further requests, sent later than RECONNECT_S after that.
+CRASH_THRESHOLD = 3
+MAX_LATE_RETRIES = 3
 # Statuses that assure the caller that the request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 MIN_SUCCESS_RATIO = 0.95  # of the requests sent after the last fault
 
 
+def is_crashing(target):
+    return plan.CRASH_PART in target or plan.CHAIN_PART in target
+
+
 class PromiseChecker:
     def __init__(self, ledger, services):
         self.ledger = ledger
@@ -87,6 +95,8 @@
         self.check_announced_leaving()
         self.check_rate_limits()
         self.check_retry_budget()
+        self.check_crashing_requests()
+        self.check_innocent_requests()
         return self.violations
 
     def check_single_execution(self, sent):
@@ -293,6 +303,39 @@
                         "requests")
                     break
 
+    def check_crashing_requests(self):
+        """Limits the arrivals of a request that has ended several servers.
+
+        Requests with the same caller, target and body are the same.
+        """
+        groups = collections.defaultdict(list)
+        for sent in self.ledger.sent.values():
+            if plan.CRASH_PART in sent.target:
+                key = (self.services[sent.node], sent.target, sent.body)
+                groups[key].append(sent)
+        for requests in groups.values():
+            crashes = sorted(arrival.ended for sent in requests
+                             for arrival in self.arrivals[sent.id]
+                             if arrival.crashed)
+            if len(crashes) < CRASH_THRESHOLD:
+                continue
+            since = crashes[CRASH_THRESHOLD - 1] + RECONNECT_S
+            late = [sent for sent in requests
+                    if sent.at > since and self.executed_arrivals(sent.id)
+                    and self.is_undisturbed(sent, sent.ended)]
+            if len(late) > MAX_LATE_RETRIES:
+                self.add_violation(
+                    "BUDGET", late[0],
+                    f"{len(late)} requests for {late[0].target} reached "
+                    f"servers after it had ended {CRASH_THRESHOLD}, "
+                    f"{len(crashes)} ended in all")
+
+    def check_innocent_requests(self):
+        for sent in self.ledger.sent.values():
+            if sent.reason == "quarantined" and not is_crashing(sent.target):
+                self.add_violation("BLAMED", sent, "quarantined, but it ends "
+                                   "no server")
+
     def check_recovery(self, since, until):
         """Checks the share of successful requests sent in a time span.
 
@@ -300,7 +343,8 @@
         """
         sent = [s for s in self.ledger.sent.values()
                 if not s.parent and since <= s.at < until
-                and s.outcome != "gave-up"]
+                and s.outcome != "gave-up"
+                and not is_crashing(s.target)]
         successful = sum(s.status == 200 for s in sent)
         if not sent or successful < MIN_SUCCESS_RATIO * len(sent):
             self.violations.append(
--- a/soak/promises_test.py
+++ b/soak/promises_test.py
@@ -43,6 +43,34 @@
         checker = PromiseChecker(self.ledger, {"node-1": "front"})
         return sorted({line.split()[0] for line in checker.check_all()})
 
+    def add_crashing_requests(self, start, count, crashed):
+        for index in range(count):
+            sent = self.add_request(
+                "buy", f"{start}-{index}", at=start + index, status=502)
+            sent.target = "/buy/crash-1"
+            self.add_arrival(sent, crashed=crashed)
+
+    def test_request_that_ended_three_servers_is_sent_on(self):
+        self.add_crashing_requests(START, 3, True)
+        self.add_crashing_requests(START + 3, 3, True)
+        self.assertEqual(self.find_broken_rules(), [],
+                         "within the time to learn of it")
+        self.add_crashing_requests(START + 10, 3, True)
+        self.assertEqual(self.find_broken_rules(), [], "three more")
+        self.add_crashing_requests(START + 15, 1, True)
+        self.assertEqual(self.find_broken_rules(), ["BUDGET"])
+
+    def test_two_ended_servers_do_not_bind(self):
+        self.add_crashing_requests(START, 2, True)
+        self.add_crashing_requests(START + 10, 6, False)
+        self.assertEqual(self.find_broken_rules(), [])
+
+    def test_quarantine_of_a_request_that_ends_no_server(self):
+        sent = self.add_request(status=503, reason="quarantined")
+        self.assertEqual(self.find_broken_rules(), ["BLAMED"])
+        sent.target = "/buy/crash-1"
+        self.assertEqual(self.find_broken_rules(), [])
+
     def test_complete_exchange_is_no_violation(self):
         self.add_arrival(self.add_request())
         self.assertEqual(self.find_broken_rules(), [])
