Run a suspected request once at a time, at one instance

Copies that several clients sent at once, and retries, ended several servers side by side after the first end was known; after a restart of the whole fleet, which forgets all suspects, that could exceed three. Now all nodes send a suspected request to the instance that ranks first by its fingerprint, where it runs once at a time, until a completed run clears it.

--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -46,6 +46,14 @@
     std::optional<std::string> pick(std::span<const std::string> exclude,
                                     std::mt19937_64& random, time_point now);
 
+    /// @brief Selects an instance by a key. Nodes that use the same instances
+    /// select the same one, whatever their loads.
+    /// @param exclude ids of the instances already tried for this request.
+    /// @return id of an instance; nothing when none is usable.
+    std::optional<std::string> pick_by_key(std::uint64_t key,
+                                           std::span<const std::string> exclude,
+                                           time_point now);
+
     void on_attempt_start(std::string_view id, time_point now);
 
     /// @param latency time that the call spent at the instance's node; zero
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -121,6 +121,7 @@
                       open_call& call);
     bool send_attempt(open_call& call, time_point now);
     [[nodiscard]] static request_fingerprint fingerprint_of(open_call& call);
+    [[nodiscard]] bool is_suspected(open_call& call, time_point now) const;
     [[nodiscard]] std::optional<engine::answer>
     refuse_suspect(open_call& call, time_point now) const;
     void retry_or_finish(open_call call, const engine::answer& last,
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -14,6 +14,7 @@
 
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
 #include <deque>
@@ -110,7 +111,7 @@
         bool running{false};
         std::size_t body_bytes{0};
         request_fingerprint fingerprint{0};
-        bool isolated{false};
+        request_standing standing{request_standing::clear}; // at its start
     };
 
     struct timed_request
@@ -188,6 +189,7 @@
     // Cancelled while they ran; the server may run them for a moment longer.
     std::deque<timed_request> cancelled_requests_;
     recent_completions recent_completions_;
+    absl::flat_hash_set<request_fingerprint> running_suspects_;
     bool isolated_call_runs_{false};
     suspicion_port* suspicion_port_{nullptr};
     std::vector<timed_request> unsent_completions_; // of suspects
--- a/include/jujubespan/mesh/suspect_requests.hpp
+++ b/include/jujubespan/mesh/suspect_requests.hpp
@@ -56,6 +56,7 @@
 enum class request_standing
 {
     clear,
+    suspected,  ///< May run once at a time.
     isolated,   ///< May run while no other isolated request runs there.
     held,       ///< Must not run yet.
     quarantined ///< Must not run.
@@ -64,9 +65,10 @@
 /// @brief The requests under which backend servers have ended.
 ///
 /// Every request that was running when a server's process ended is suspected of
-/// it. A completed run clears it of all earlier ends. A request under which
-/// two servers have ended since is run alone and later, one under which three
-/// have ended is quarantined until enough of these ends have expired.
+/// it. A completed run clears it of all earlier ends. Until then all nodes send
+/// it to the same server, where it runs once at a time. A request under which
+/// two servers have ended since is also run later and isolated, one under which
+/// three have ended is quarantined until enough of these ends have expired.
 ///
 /// Every node holds the suspects of the whole fleet. Merging reports is
 /// commutative and idempotent apart from the precision of their ages, so
--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -1,5 +1,7 @@
 #include "jujubespan/mesh/balancer.hpp"
 
+#include "jujubespan/policy/stable_hash.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -295,6 +297,20 @@
     return chosen->info.id;
 }
 
+std::optional<std::string>
+balancer::pick_by_key(std::uint64_t key, std::span<const std::string> exclude,
+                      time_point now)
+{
+    const auto pool = usable_members(exclude, now);
+    const auto rank = [key](const member* m)
+    { return stable_hash(m->info.id, key); };
+    const auto chosen = std::max_element(pool.begin(), pool.end(),
+                                         [&](const member* a, const member* b)
+                                         { return rank(a) < rank(b); });
+    return chosen == pool.end() ? std::nullopt
+                                : std::optional((*chosen)->info.id);
+}
+
 void balancer::on_attempt_start(std::string_view id, time_point now)
 {
     if (member* m = find(id))
--- a/src/jujubespan/mesh/balancer_test.cpp
+++ b/src/jujubespan/mesh/balancer_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 namespace jujubespan::mesh
@@ -308,5 +309,27 @@
     EXPECT_GT(send(200)["a"], 0);
 }
 
+TEST_F(balancer_test, nodes_select_the_same_instance_by_a_key)
+{
+    balancer other("zone-c");
+    std::reverse(list.begin(), list.end());
+    other.apply(list, start);
+    std::map<std::string, int> selected;
+    for (std::uint64_t key = 0; key < 3000; ++key)
+    {
+        const auto chosen = target.pick_by_key(key, {}, start);
+        ASSERT_TRUE(chosen);
+        EXPECT_EQ(other.pick_by_key(key, {}, start), chosen);
+        ++selected[*chosen];
+    }
+    for (const auto& [id, count] : selected)
+    {
+        EXPECT_GE(count, 800) << id;
+    }
+    EXPECT_EQ(selected.size(), 3U);
+    const std::vector<std::string> all{"a", "b", "c"};
+    EXPECT_FALSE(target.pick_by_key(1, all, start));
+}
+
 } // namespace
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/crashing_request_test.cpp
+++ b/src/jujubespan/mesh/crashing_request_test.cpp
@@ -45,6 +45,22 @@
               0.99 * 10 * background_rate);
 }
 
+// Guards against copies that several clients send at once ending more servers
+// than one after another: a restarted fleet knows nothing of the first three.
+TEST(crashing_request, that_many_clients_send_runs_once_at_a_time)
+{
+    simulated_fleet fleet(6);
+    fleet.run(1s, background_rate);
+    fleet.crash_server(0);
+    fleet.send_request(fleet.crashing_target);
+    fleet.run(200ms, background_rate);
+    const auto before = fleet.arrivals_of(fleet.crashing_target, {});
+    fleet.crashing_per_second = 100;
+    fleet.run(10s, background_rate);
+    EXPECT_LE(fleet.arrivals_of(fleet.crashing_target, {}), crash_threshold);
+    EXPECT_GE(before, 1U);
+}
+
 // A request that must not repeat is not retried by nodes, only sent again by
 // its client.
 TEST(crashing_request, that_is_not_idempotent_ends_three_servers_at_most)
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -141,6 +141,13 @@
     return *call.fingerprint;
 }
 
+bool egress::is_suspected(open_call& call, time_point now) const
+{
+    return !shared_.suspects.empty() &&
+           shared_.suspects.standing(fingerprint_of(call), now) !=
+               request_standing::clear;
+}
+
 std::optional<answer> egress::refuse_suspect(open_call& call,
                                              time_point now) const
 {
@@ -268,7 +275,10 @@
 {
     auto& service_balancer = balancer_of(call.message.service);
     const auto chosen =
-        service_balancer.pick(call.tried_instances, random_, now);
+        is_suspected(call, now)
+            ? service_balancer.pick_by_key(fingerprint_of(call),
+                                           call.tried_instances, now)
+            : service_balancer.pick(call.tried_instances, random_, now);
     call.instance = chosen.value_or("");
     if (!chosen)
     {
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -179,7 +179,7 @@
     const auto added = calls_.emplace(
         exchange,
         pending_call{
-            std::move(call), now, {}, false, body_bytes, fingerprint, false});
+            std::move(call), now, {}, false, body_bytes, fingerprint, {}});
     auto& entry = added.first->second;
     deadlines_.insert({entry.message.deadline, exchange});
     if (cause)
@@ -218,9 +218,13 @@
         refuse_call(id, reason::quarantined, now);
         return;
     }
-    call.isolated = shared_.suspects.standing(call.fingerprint, now) ==
-                    request_standing::isolated;
-    isolated_call_runs_ = isolated_call_runs_ || call.isolated;
+    call.standing = shared_.suspects.standing(call.fingerprint, now);
+    if (call.standing != request_standing::clear)
+    {
+        running_suspects_.insert(call.fingerprint);
+    }
+    isolated_call_runs_ =
+        isolated_call_runs_ || call.standing == request_standing::isolated;
     const auto& message = call.message;
     // Counted only when the call starts: a call that is refused here may be
     // sent to another guard, which counts it as well.
@@ -518,7 +522,12 @@
     {
         return;
     }
-    isolated_call_runs_ = isolated_call_runs_ && !call.isolated;
+    if (call.standing != request_standing::clear)
+    {
+        running_suspects_.erase(call.fingerprint);
+    }
+    isolated_call_runs_ =
+        isolated_call_runs_ && call.standing != request_standing::isolated;
     const duration slot_time = now - call.started_at;
     gate_.on_finish(slot_time, slot_time, completed, now);
 }
--- a/src/jujubespan/mesh/guard_suspicion.cpp
+++ b/src/jujubespan/mesh/guard_suspicion.cpp
@@ -47,6 +47,8 @@
     {
     case request_standing::clear:
         return false;
+    case request_standing::suspected:
+        return running_suspects_.contains(request);
     case request_standing::isolated:
         return isolated_call_runs_;
     case request_standing::held:
--- a/src/jujubespan/mesh/guard_suspicion_test.cpp
+++ b/src/jujubespan/mesh/guard_suspicion_test.cpp
@@ -312,6 +312,20 @@
     EXPECT_TRUE(started(call("/4"))); // No slot is lost.
 }
 
+// Several clients may send the request that ends servers at the same time.
+TEST_F(guard_suspicion_test, suspected_request_runs_once_at_a_time)
+{
+    end_elsewhere(1, "/poison");
+    const auto first = call("/poison");
+    EXPECT_TRUE(started(first));
+    const auto second = call("/poison");
+    EXPECT_FALSE(started(second));
+    EXPECT_EQ(reply(second).answer.result, outcome::not_run);
+    EXPECT_TRUE(started(call("/other")));
+    target.on_cancelled(first, now);
+    EXPECT_TRUE(started(call("/poison")));
+}
+
 TEST_F(guard_suspicion_test, requests_with_two_ends_run_one_at_a_time)
 {
     for (const auto* path : {"/1", "/2"})
--- a/src/jujubespan/mesh/suspect_requests.cpp
+++ b/src/jujubespan/mesh/suspect_requests.cpp
@@ -127,11 +127,14 @@
                                             time_point now) const
 {
     const auto found = suspects_.find(request);
-    if (found == suspects_.end() ||
-        found->second.ends.size() < isolation_threshold)
+    if (found == suspects_.end() || found->second.ends.empty())
     {
         return request_standing::clear;
     }
+    if (found->second.ends.size() < isolation_threshold)
+    {
+        return request_standing::suspected;
+    }
     if (found->second.quarantined)
     {
         return request_standing::quarantined;
--- a/src/jujubespan/mesh/suspect_requests_test.cpp
+++ b/src/jujubespan/mesh/suspect_requests_test.cpp
@@ -46,8 +46,9 @@
 
 TEST_F(suspect_requests_test, third_end_quarantines)
 {
-    EXPECT_TRUE(end(1, {poison, bystander}).empty());
     EXPECT_EQ(standing(poison), request_standing::clear);
+    EXPECT_TRUE(end(1, {poison, bystander}).empty());
+    EXPECT_EQ(standing(poison), request_standing::suspected);
     EXPECT_TRUE(end(2, {poison}).empty());
     EXPECT_EQ(standing(poison), request_standing::held);
     EXPECT_EQ(target.time_to_release(poison, now), 2s);
@@ -55,7 +56,7 @@
     EXPECT_EQ(standing(poison), request_standing::isolated);
     EXPECT_EQ(end(3, {poison}), std::vector{poison});
     EXPECT_EQ(standing(poison), request_standing::quarantined);
-    EXPECT_EQ(standing(bystander), request_standing::clear);
+    EXPECT_EQ(standing(bystander), request_standing::suspected);
     EXPECT_EQ(target.quarantined_count(), 1U);
     EXPECT_EQ(target.digest(), poison);
 }
@@ -66,7 +67,7 @@
     {
         end(1, {poison});
     }
-    EXPECT_EQ(standing(poison), request_standing::clear);
+    EXPECT_EQ(standing(poison), request_standing::suspected);
 }
 
 TEST_F(suspect_requests_test, completed_run_clears_earlier_ends_only)
@@ -79,8 +80,9 @@
     EXPECT_EQ(standing(bystander), request_standing::clear);
     // A late report of an end before the completion.
     target.merge({{make_end(3, {bystander}, 1s)}, {}}, now);
+    now += 2ms;
     end(4, {bystander});
-    EXPECT_EQ(standing(bystander), request_standing::clear);
+    EXPECT_EQ(standing(bystander), request_standing::suspected);
     EXPECT_FALSE(target.record_completion(99, now)); // Never suspected.
 }
 
