--- a/src/jujubespan/mesh/guard_suspicion.cpp
+++ b/src/jujubespan/mesh/guard_suspicion.cpp
@@ -23,6 +23,8 @@
 // A server may run a request for this time after it was cancelled.
 constexpr duration cancelled_run_time = std::chrono::milliseconds(250);
 constexpr duration expiry_interval = std::chrono::milliseconds(500);
+// All nodes are told of each completion, so those of a crash are sent together.
+constexpr duration completion_report_interval = std::chrono::milliseconds(200);
 // An end is reported again after these times.
 constexpr std::array<duration, 3> report_times{
     duration::zero(), std::chrono::seconds(1), std::chrono::seconds(4)};
@@ -164,9 +166,13 @@
     }
     std::erase_if(reported_ends_, [](const reported_end& item)
                   { return item.times_sent >= report_times.size(); });
-    for (const auto& item : std::exchange(unsent_completions_, {}))
+    if (!unsent_completions_.empty() &&
+        now - unsent_completions_.front().at >= completion_report_interval)
     {
-        report.completions.push_back({item.request, now - item.at});
+        for (const auto& item : std::exchange(unsent_completions_, {}))
+        {
+            report.completions.push_back({item.request, now - item.at});
+        }
     }
     if (suspicion_port_ != nullptr && !report.empty())
     {
--- a/src/jujubespan/mesh/guard_suspicion_test.cpp
+++ b/src/jujubespan/mesh/guard_suspicion_test.cpp
@@ -350,9 +350,14 @@
     target.on_tick(now);
     const auto sent = reports.reports.size();
     answer(call("/2"));
-    target.on_tick(now);
+    for (int i = 0; i < 20; ++i)
+    {
+        target.on_tick(now);
+        now += 20ms;
+    }
     ASSERT_EQ(reports.reports.size(), sent + 1);
     ASSERT_EQ(reports.reports.back().completions.size(), 1U);
+    EXPECT_EQ(reports.reports.back().completions[0].age, 200ms);
     EXPECT_EQ(reports.reports.back().completions[0].request, fingerprint("/2"));
 }
 
