--- a/src/jujubespan/mesh/guard_suspicion_test.cpp
+++ b/src/jujubespan/mesh/guard_suspicion_test.cpp
@@ -105,7 +105,8 @@
     std::uint64_t call(const std::string& path)
     {
         routed_call message;
-        message.id = ++last_exchange;
+        const auto exchange = ++last_exchange;
+        message.id = exchange;
         message.request_id = "id-" + std::to_string(message.id);
         message.instance = "i-1";
         message.service = "s";
@@ -113,8 +114,8 @@
         message.route = "r";
         message.deadline = now + 5s;
         message.request = make_request(path);
-        target.on_call(message.id, std::move(message), now);
-        return last_exchange;
+        target.on_call(exchange, std::move(message), now);
+        return exchange;
     }
 
     void answer(std::uint64_t exchange, unsigned status = 200)
