Test of a quarantine between nodes with real sockets

A backend server that ends on a request, three times; both nodes quarantine it, and a node that starts later learns of it. The fake backend can end its process and start again; the other tests of two nodes are unchanged.

--- a/src/jujubespan/node/mesh_loop_test.cpp
+++ b/src/jujubespan/node/mesh_loop_test.cpp
@@ -11,9 +11,11 @@
 
 #include <QHostAddress>
 #include <QTcpSocket>
+#include <QTimer>
 
 #include <atomic>
 #include <map>
+#include <optional>
 
 namespace jujubespan::node
 {
@@ -23,21 +25,35 @@
 using testing::free_endpoint;
 using testing::wait_for;
 
-// Responds to every request immediately, or never if `unresponsive` is set.
+// Responds to every request immediately, or never if `unresponsive` is set. Its
+// process ends on a request for `crashing_target`.
 class fake_backend final : public http::request_handler
 {
 public:
     explicit fake_backend(const config::endpoint& address)
+        : listen_address(address)
     {
-        EXPECT_TRUE(server.listen(address).ok());
+        start();
+    }
+
+    void start()
+    {
+        server.emplace(config::resource_limits{}, *this);
+        EXPECT_TRUE(server->listen(listen_address).ok());
     }
 
     void on_request(std::uint64_t exchange, http_request request) override
     {
         requests.push_back(request);
+        if (request.target == crashing_target)
+        {
+            // Not destroyed within its own callback.
+            QTimer::singleShot(0, [this] { server.reset(); });
+            return;
+        }
         if (!unresponsive)
         {
-            server.respond(exchange, response);
+            server->respond(exchange, response);
         }
     }
     void on_client_disconnected(std::uint64_t /*exchange*/) override
@@ -49,8 +65,10 @@
     http_response response{
         200, {{mesh::header_names{}.signature, "signed"}}, "body"};
     bool unresponsive{false};
+    std::string crashing_target;
     int disconnect_count{0};
-    http::server server{config::resource_limits{}, *this};
+    config::endpoint listen_address;
+    std::optional<http::server> server; // empty after its end
 };
 
 class recording_client final : public http::response_handler
@@ -111,10 +129,8 @@
 protected:
     two_nodes()
     {
-        auto list = std::make_shared<mesh::instance_directory>();
         list->put(make_instance(caller_settings));
         list->put(make_instance(callee_settings));
-        auto routes = std::make_shared<mesh::configuration>();
         routes->version = 1;
         mesh::route callee_route;
         callee_route.name = "to-deep";
@@ -125,17 +141,31 @@
         routes->routes = {callee_route};
         for (auto* node : {&caller_node, &callee_node})
         {
-            EXPECT_TRUE(node->status().ok()) << node->status();
-            auto& loop = node->loop();
-            loop.run_and_wait(
-                [&]
-                {
-                    loop.apply_configuration(routes);
-                    loop.apply_instances(list);
-                });
+            publish_to(*node);
         }
     }
 
+    void publish_to(traffic_thread<mesh_loop>& node)
+    {
+        EXPECT_TRUE(node.status().ok()) << node.status();
+        auto& loop = node.loop();
+        loop.run_and_wait(
+            [&]
+            {
+                loop.apply_configuration(routes);
+                loop.apply_instances(list);
+            });
+    }
+
+    static std::size_t quarantined_count(traffic_thread<mesh_loop>& node)
+    {
+        std::size_t count = 0;
+        auto& loop = node.loop();
+        loop.run_and_wait([&]
+                          { count = loop.make_report().quarantined_requests; });
+        return count;
+    }
+
     static http_request request(const std::string& id)
     {
         return {"GET",
@@ -152,6 +182,10 @@
                                            ++incarnation, context);
     }
 
+    std::shared_ptr<mesh::instance_directory> list{
+        std::make_shared<mesh::instance_directory>()};
+    std::shared_ptr<mesh::configuration> routes{
+        std::make_shared<mesh::configuration>()};
     zmq::context_t context{1};
     std::uint64_t incarnation{0};
     config::mesh_settings caller_settings{make_settings("front")};
@@ -290,7 +324,7 @@
     ASSERT_TRUE(wait_for([&] { return backend.requests.size() == 1; }));
     wait_for([] { return false; }, 700);
     EXPECT_FALSE(drained);
-    backend.server.respond(1, backend.response);
+    backend.server->respond(1, backend.response);
     ASSERT_TRUE(wait_for([&] { return client.status(1) == 200; }));
     const auto answered_at = clock::now();
     EXPECT_TRUE(wait_for([&] { return drained.load(); }, 1000));
@@ -326,5 +360,49 @@
     EXPECT_TRUE(wait_for([&] { return drained.load(); }, 1000));
 }
 
+// Guards against the end of a server not being told to other nodes, and against
+// a node that starts later never learning of it.
+TEST_F(two_nodes, crashing_request_is_quarantined_at_all_nodes)
+{
+    backend.crashing_target = request("").target;
+    for (std::uint64_t i = 1; i <= 3; ++i)
+    {
+        client.client.start(i, request("id-" + std::to_string(i)));
+        ASSERT_TRUE(wait_for([&] { return client.status(i) != 0; }, 3000));
+        EXPECT_EQ(client.status(i), 502U);
+        EXPECT_EQ(backend.requests.size(), i);
+        ASSERT_TRUE(wait_for([&] { return !backend.server; }));
+        backend.start();
+        wait_for([] { return false; }, 2200); // Held after the second end.
+    }
+    EXPECT_EQ(quarantined_count(caller_node), 1U);
+    EXPECT_EQ(quarantined_count(callee_node), 1U);
+
+    auto late_settings = make_settings("front");
+    traffic_thread<mesh_loop> late_node{[&]
+                                        { return make_loop(late_settings); }};
+    auto extended = std::make_shared<mesh::instance_directory>(*list);
+    auto late_instance = make_instance(late_settings);
+    late_instance.id = "i-late";
+    extended->put(late_instance);
+    list = extended;
+    for (auto* node : {&caller_node, &callee_node, &late_node})
+    {
+        publish_to(*node);
+    }
+    recording_client late_client(late_settings.client_address);
+    std::uint64_t exchange = 0;
+    EXPECT_TRUE(wait_for(
+        [&]
+        {
+            late_client.client.start(++exchange, request("late"));
+            wait_for([&] { return late_client.status(exchange) != 0; }, 500);
+            EXPECT_EQ(late_client.status(exchange), 503U);
+            return quarantined_count(late_node) == 1;
+        },
+        3000));
+    EXPECT_EQ(backend.requests.size(), 3U);
+}
+
 } // namespace
 } // namespace jujubespan::node
