End the monitor of a connection before its receiver

Cause: a dropped connection closed the receiver of its events first. An event of its socket in that moment, such as the end of the connection, makes ZeroMQ's I/O thread wait for a receiver that no longer exists, and all connections share that thread. Dropping many connections while they fail, as after a pause, makes it likely. The logs show it: from the resume on, no connection of node 6 was ever established, in either direction, while HTTP went on.

messengers.dropping_connections_that_fail_does_not_stop_the_others failed in 4 of 4 runs before (first in round 6 of 100) and passed in 3 of 3 after.

--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -59,6 +59,14 @@
     {
     }
 
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+    // Ends the monitor before its receiver is closed: the I/O thread, which all
+    // connections share, would wait forever to deliver an event to a receiver
+    // that no longer exists.
+    ~connection() { zmq_socket_monitor(socket.raw().handle(), nullptr, 0); }
+
     std::string id;
     std::string monitor_name;
     zmq_socket socket;
--- a/src/jujubespan/peer/messenger_test.cpp
+++ b/src/jujubespan/peer/messenger_test.cpp
@@ -11,11 +11,16 @@
 
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
 #include <array>
 #include <csignal>
 #include <functional>
+#include <netinet/in.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/time.h>
+#include <thread>
+#include <unistd.h>
 
 namespace jujubespan::peer
 {
@@ -309,6 +314,88 @@
     EXPECT_TRUE(handler.lost.empty());
 }
 
+// Accepts connections and closes each at once.
+class closing_listener
+{
+public:
+    closing_listener()
+        : descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* generic = reinterpret_cast<sockaddr*>(&address);
+        EXPECT_EQ(::bind(descriptor_, generic, size), 0);
+        EXPECT_EQ(::listen(descriptor_, SOMAXCONN), 0);
+        ::getsockname(descriptor_, generic, &size);
+        port = ntohs(address.sin_port);
+        thread_ = std::thread(
+            [this]
+            {
+                int accepted = 0;
+                while ((accepted = ::accept(descriptor_, nullptr, nullptr)) >=
+                       0)
+                {
+                    ::close(accepted);
+                }
+            });
+    }
+
+    closing_listener(const closing_listener&) = delete;
+    closing_listener& operator=(const closing_listener&) = delete;
+
+    ~closing_listener()
+    {
+        ::shutdown(descriptor_, SHUT_RDWR); // Ends accept().
+        thread_.join();
+        ::close(descriptor_);
+    }
+
+    std::uint16_t port{0};
+
+private:
+    int descriptor_;
+    std::thread thread_;
+};
+
+// Guards against the I/O thread of ZeroMQ, which all connections share, waiting
+// forever to report an event of a connection that is being closed.
+TEST_F(messengers, dropping_connections_that_fail_does_not_stop_the_others)
+{
+    closing_listener listener;
+    std::vector<peer_address> peers{
+        {"b", "127.0.0.1:" + std::to_string(b.port), ""}};
+    const std::vector<peer_address> only_b = peers;
+    constexpr int failing_peer_count = 50;
+    for (int i = 0; i < failing_peer_count; ++i)
+    {
+        peers.push_back({"failing-" + std::to_string(i),
+                         "127.0.0.1:" + std::to_string(listener.port), ""});
+    }
+    constexpr int rounds = 100;
+    for (int round = 0; round < rounds; ++round)
+    {
+        a.target.set_peers(peers);
+        const auto now = boot_clock::now();
+        for (const auto& peer : peers)
+        {
+            auto message = make_call(static_cast<std::uint64_t>(round));
+            a.target.send(peer.id, message, now);
+        }
+        wait_for([] { return false; }, round % 5);
+        a.target.set_peers(only_b);
+        ASSERT_TRUE(wait_for(
+            [&]
+            {
+                return !b.handler.messages.empty() &&
+                       b.handler.messages.back().call().id() ==
+                           static_cast<std::uint64_t>(round);
+            }))
+            << "round " << round;
+    }
+}
+
 TEST_F(messengers, drops_invalid_and_misaddressed_messages)
 {
     zmq::socket_t client(context, zmq::socket_type::dealer);
