--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -185,7 +185,7 @@
     server_end_detector end_detector_;
     // Ids of calls whose exchanges failed and whose replies wait for a probe.
     std::vector<std::uint64_t> failed_calls_;
-    time_point first_failure_at_{}; // of them
+    time_point first_failure_at_{}; // when the first of them failed
     // Cancelled while they ran; the server may run them for a moment longer.
     std::deque<timed_request> cancelled_requests_;
     recent_completions recent_completions_;
--- a/include/jujubespan/mesh/suspect_requests.hpp
+++ b/include/jujubespan/mesh/suspect_requests.hpp
@@ -56,8 +56,8 @@
 enum class request_standing
 {
     clear,
-    suspected,  ///< May run once at a time.
-    isolated,   ///< May run while no other isolated request runs there.
+    suspected,  ///< May run, but not twice at the same time.
+    isolated,   ///< May run, but not beside another isolated request.
     held,       ///< Must not run yet.
     quarantined ///< Must not run.
 };
@@ -66,9 +66,10 @@
 ///
 /// Every request that was running when a server's process ended is suspected of
 /// it. A completed run clears it of all earlier ends. Until then all nodes send
-/// it to the same server, where it runs once at a time. A request under which
-/// two servers have ended since is also run later and isolated, one under which
-/// three have ended is quarantined until enough of these ends have expired.
+/// it to the same server, where it runs once at a time. After the second end it
+/// is held back for some seconds, and then runs only while no other such
+/// request does. After the third it is quarantined until enough of these ends
+/// have expired.
 ///
 /// Every node holds the suspects of the whole fleet. Merging reports is
 /// commutative and idempotent apart from the precision of their ages, so
@@ -118,7 +119,8 @@
 
     struct suspect
     {
-        std::vector<end_reference> ends; ///< Since the last completion; by time
+        /// Ends since the last completion, oldest first.
+        std::vector<end_reference> ends;
         time_point completed_at{};
         bool quarantined{false};
         bool was_quarantined{false};
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -118,6 +118,15 @@
         target.on_reply(peers.calls.back().id, message, now);
     }
 
+    void reply_that_the_server_ended()
+    {
+        routed_reply message;
+        message.answer = engine::make_unknown_outcome(reason::backend_failed);
+        message.reached_backend = true;
+        message.backend_ended = true;
+        target.on_reply(peers.calls.back().id, message, now);
+    }
+
     static engine::answer answered(unsigned status)
     {
         engine::answer answer;
@@ -429,11 +438,7 @@
     {
         shared.suspects.merge({{{id, 0s, {fingerprint}}}, {}}, now);
     }
-    routed_reply ended;
-    ended.answer = engine::make_unknown_outcome(reason::backend_failed);
-    ended.reached_backend = true;
-    ended.backend_ended = true;
-    target.on_reply(peers.calls.back().id, ended, now);
+    reply_that_the_server_ended();
     EXPECT_EQ(peers.calls.size(), 1U);
     EXPECT_EQ(clients.responses.at(1).status, 502U);
 }
@@ -444,11 +449,7 @@
     configure();
     request(1, "/read/1");
     const auto ended_instance = peers.calls.back().instance;
-    routed_reply ended;
-    ended.answer = engine::make_unknown_outcome(reason::backend_failed);
-    ended.reached_backend = true;
-    ended.backend_ended = true;
-    target.on_reply(peers.calls.back().id, ended, now);
+    reply_that_the_server_ended();
     ASSERT_EQ(peers.calls.size(), 2U);
     // The server that ended gets no other requests either.
     for (std::uint64_t exchange = 10; exchange < 40; ++exchange)
--- a/src/jujubespan/mesh/suspect_requests.cpp
+++ b/src/jujubespan/mesh/suspect_requests.cpp
@@ -72,7 +72,14 @@
     item.quarantined = quarantined;
     item.was_quarantined = true;
     digest_ ^= request;
-    quarantined ? ++quarantined_count_ : --quarantined_count_;
+    if (quarantined)
+    {
+        ++quarantined_count_;
+    }
+    else
+    {
+        --quarantined_count_;
+    }
 }
 
 std::vector<request_fingerprint>
