Read organisations and their keys; name them to backend servers

The routed path had no organisations: keys went on to backend servers and requests with unknown keys ran. The configuration's organisations now identify the sender of a client request. An unknown key is answered 401; the key is removed at the entry and the guard writes the organisation's name.

--- a/include/jujubespan/config/mesh_settings.hpp
+++ b/include/jujubespan/config/mesh_settings.hpp
@@ -22,6 +22,25 @@
     duration window{std::chrono::seconds(10)};
 };
 
+/// @brief How long a revoked key may still be accepted.
+struct revocation_settings
+{
+    /// True: a node that cannot show that its configuration is recent refuses
+    /// requests with keys.
+    bool strict{false};
+    /// Time after the acknowledgement of a configuration within which the keys
+    /// that it removed must be refused everywhere.
+    duration bound{std::chrono::seconds(5)};
+};
+
+/// @brief By how much the allowance of an organisation may be exceeded.
+struct allowance_settings
+{
+    duration window{std::chrono::seconds(5)};
+    double tolerance{0.25}; ///< Share of the allowance in a window.
+    double slack{20};       ///< Requests in a window, in addition.
+};
+
 /// @brief Settings of a node that routes requests between services.
 struct mesh_settings
 {
@@ -50,6 +69,8 @@
     std::size_t max_buffered_bytes{64U << 20U};
     std::size_t max_connections{1400};
     retry_budget_settings retry_budget;
+    revocation_settings revocation;
+    allowance_settings allowance;
     std::string log_level{"info"};
 };
 
--- a/include/jujubespan/engine/answer.hpp
+++ b/include/jujubespan/engine/answer.hpp
@@ -66,7 +66,11 @@
     retry_budget,    ///< The retry budget of the service is exhausted.
     rate_limit,      ///< The backend server announced a rate limit.
     quarantined,     ///< Backend servers ended while they ran the request.
-    last = quarantined
+    unknown_key,     ///< No organisation holds the key of the request.
+    /// The node cannot show that the keys that it knows are still valid.
+    stale_configuration,
+    allowance, ///< The organisation has used its allowance.
+    last = allowance
 };
 
 std::string_view to_string(outcome value);
--- a/include/jujubespan/mesh/call.hpp
+++ b/include/jujubespan/mesh/call.hpp
@@ -28,6 +28,8 @@
     std::string service;
     std::string caller_service; ///< Service of the node that sends the call.
     std::string route;          ///< Name of the matched route.
+    /// Name of the organisation that sent the request; empty if none.
+    std::string organisation;
     time_point deadline{};
     shed_key key{0};
     bool idempotent{false};
--- a/include/jujubespan/mesh/configuration.hpp
+++ b/include/jujubespan/mesh/configuration.hpp
@@ -1,11 +1,13 @@
 #ifndef JUJUBESPAN_MESH_CONFIGURATION_HPP
 #define JUJUBESPAN_MESH_CONFIGURATION_HPP
 
+#include "jujubespan/mesh/organisation.hpp"
 #include "jujubespan/policy/string_map.hpp"
 #include "jujubespan/policy/time.hpp"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +44,7 @@
     duration objective{};
     std::uint32_t priority{0}; ///< Zero is the highest: refused last.
     std::uint32_t max_attempts{1};
+    bool anonymous{false}; ///< Its requests need no key.
     /// Empty when the configuration names no readable target: requests match
     /// the route and are refused.
     std::vector<route_target> targets;
@@ -82,6 +85,9 @@
     std::uint64_t version{0};
     std::vector<route> routes;
     std::vector<backend_options> services;
+    /// The organisations whose requests are admitted, by their keys; absent
+    /// when requests need no key.
+    std::optional<std::vector<organisation>> organisations;
     client_limits clients;
     /// Describes each entry or field that could not be read.
     std::vector<std::string> defects;
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -9,6 +9,7 @@
 #include "jujubespan/mesh/instance_directory.hpp"
 #include "jujubespan/mesh/leaving_instances.hpp"
 #include "jujubespan/mesh/mesh_metrics.hpp"
+#include "jujubespan/mesh/organisation_table.hpp"
 #include "jujubespan/mesh/running_calls.hpp"
 #include "jujubespan/mesh/suspect_requests.hpp"
 
@@ -95,6 +96,8 @@
         std::shared_ptr<const configuration> source; // owns `matched_route`
         const route* matched_route{nullptr};
         bool is_nested{false};
+        /// Sender of a client's request, if it needs a key. Owned by `source`.
+        const organisation* sender{nullptr};
         routed_call message;
         time_point received_at{};
         time_point response_deadline{};
@@ -117,6 +120,8 @@
 
     std::optional<engine::answer> prepare_call(const http_request& request,
                                                time_point now, open_call& call);
+    [[nodiscard]] std::optional<engine::answer>
+    identify_sender(const http_request& request, open_call& call) const;
     void set_deadline(const http_request& request, time_point now,
                       open_call& call);
     bool send_attempt(open_call& call, time_point now);
@@ -154,6 +159,7 @@
     routed_call_port& peers_;
     std::mt19937_64 random_;
     std::optional<route_table> table_;
+    std::optional<organisation_table> organisations_;
     string_map<balancer> balancers_;
     string_map<std::string> call_addresses_; // by instance id
     string_map<std::uint64_t> incarnations_; // by instance id
--- a/include/jujubespan/mesh/header_names.hpp
+++ b/include/jujubespan/mesh/header_names.hpp
@@ -26,6 +26,12 @@
     std::string rate_limit{"Jujubespan-Rate-Limit"};
     /// In a response: the backend server is about to stop.
     std::string leaving{"Jujubespan-Leaving"};
+    /// Key of the organisation that sends a request. Never passed on.
+    std::string key{"Jujubespan-Key"};
+    /// Name of the organisation that holds the key; set by the node.
+    std::string organisation{"Jujubespan-Organisation"};
+    /// In a response: load and present speed of the backend server.
+    std::string server_load{"Jujubespan-Server-Load"};
 };
 
 } // namespace jujubespan::mesh
--- a/include/jujubespan/mesh/running_calls.hpp
+++ b/include/jujubespan/mesh/running_calls.hpp
@@ -20,6 +20,7 @@
     time_point deadline{};
     std::vector<service_cost> costs; ///< Costs of its calls so far.
     bool is_retry{false};            ///< An earlier attempt may also have run.
+    std::string organisation;        ///< Sender of the request, if known.
 };
 
 /// @brief The requests that the own backend server runs, by request id.
--- a/src/jujubespan/config/mesh_settings.cpp
+++ b/src/jujubespan/config/mesh_settings.cpp
@@ -13,6 +13,11 @@
 constexpr double max_retry_window_s = 600;
 constexpr double max_retry_ratio = 10;
 constexpr double max_retry_slack = 1e6;
+// A node learns of a change within about two seconds.
+constexpr std::uint64_t min_revocation_bound_ms = 3000;
+constexpr std::uint64_t max_revocation_bound_ms = 3'600'000;
+constexpr double max_allowance_window_s = 600;
+constexpr double max_allowance_slack = 1e6;
 
 retry_budget_settings read_retry_budget(object_reader& reader)
 {
@@ -24,6 +29,27 @@
     return value;
 }
 
+revocation_settings read_revocation(object_reader& reader)
+{
+    revocation_settings value;
+    value.strict = reader.bool_or("strict_revocation", false);
+    value.bound = reader.milliseconds_or("revocation_bound_ms", 5000,
+                                         min_revocation_bound_ms,
+                                         max_revocation_bound_ms);
+    return value;
+}
+
+allowance_settings read_allowance(object_reader& reader)
+{
+    allowance_settings value;
+    value.window = from_seconds(
+        reader.number_or("allowance_window_s", 5, 1, max_allowance_window_s));
+    value.tolerance = reader.number_or("allowance_tolerance", 0.25, 0, 1);
+    value.slack =
+        reader.number_or("allowance_slack", 20, 0, max_allowance_slack);
+    return value;
+}
+
 } // namespace
 
 absl::StatusOr<mesh_settings> parse_mesh_settings(std::string_view text,
@@ -61,6 +87,8 @@
     value.max_connections =
         reader.integer_or("max_connections", 1400, 1, 20'000);
     value.retry_budget = read_retry_budget(reader);
+    value.revocation = read_revocation(reader);
+    value.allowance = read_allowance(reader);
     value.log_level = read_log_level(reader);
     reader.report_unknown_keys();
     if (!errors.ok())
--- a/src/jujubespan/engine/answer.cpp
+++ b/src/jujubespan/engine/answer.cpp
@@ -51,6 +51,9 @@
     "retry-budget",
     "rate-limit",
     "quarantined",
+    "unknown-key",
+    "stale-configuration",
+    "allowance",
 });
 static_assert(reason_names.size() ==
               static_cast<std::size_t>(reason::last) + 1);
--- a/src/jujubespan/engine/http_mapping.cpp
+++ b/src/jujubespan/engine/http_mapping.cpp
@@ -45,6 +45,8 @@
 {
     switch (cause)
     {
+    case reason::unknown_key:
+        return 401;
     case reason::unknown_customer:
         return 403;
     case reason::unknown_method:
@@ -85,7 +87,8 @@
         return cause == reason::deadline || cause == reason::timeout ? 504
                                                                      : 502;
     case outcome::not_run:
-        if (cause == reason::customer_limit || cause == reason::caller_retries)
+        if (cause == reason::customer_limit ||
+            cause == reason::caller_retries || cause == reason::allowance)
         {
             return 429;
         }
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -34,6 +34,25 @@
 // its last reply.
 constexpr duration dependency_lifetime = std::chrono::seconds(10);
 
+constexpr std::size_t max_key_bytes = 256;
+
+// Value of the only header with a name; empty when there is none or several.
+std::string_view find_only_header(std::span<const http_header> headers,
+                                  std::string_view name)
+{
+    std::string_view value;
+    std::size_t count = 0;
+    for (const auto& header : headers)
+    {
+        if (same_header_name(header.name, name))
+        {
+            value = header.value;
+            ++count;
+        }
+    }
+    return count == 1 ? value : std::string_view();
+}
+
 // Requests with a lower priority number are refused later.
 request_class class_of_priority(std::uint32_t priority)
 {
@@ -66,6 +85,7 @@
 
 void egress::apply(std::shared_ptr<const configuration> next)
 {
+    organisations_.emplace(next);
     table_.emplace(std::move(next));
 }
 
@@ -115,14 +135,16 @@
     }
     call.message.caller_service = options_.service;
     call.message.request = engine::to_backend_request(std::move(request));
-    // The request id and the deadline are fields of the call.
-    std::erase_if(
-        call.message.request.headers,
-        [this](const http_header& header)
-        {
-            return same_header_name(header.name, options_.names.request_id) ||
-                   same_header_name(header.name, options_.names.deadline);
-        });
+    // The request id, the deadline and the organisation are fields of the call.
+    // The key must not leave this node.
+    std::erase_if(call.message.request.headers,
+                  [&names = options_.names](const http_header& header)
+                  {
+                      return same_header_name(header.name, names.request_id) ||
+                             same_header_name(header.name, names.deadline) ||
+                             same_header_name(header.name, names.key) ||
+                             same_header_name(header.name, names.organisation);
+                  });
     if (auto refused = refuse_suspect(call, now))
     {
         refuse_request(call, *refused);
@@ -203,15 +225,24 @@
     call.is_nested = parent != nullptr;
     if (call.is_nested)
     {
+        message.organisation = parent->organisation;
         message.key = parent->key;
         message.prioritized = true;
         message.retry =
             parent->is_retry ? retry_cause::caller : retry_cause::none;
         return std::nullopt;
     }
+    if (auto refused = identify_sender(request, call))
+    {
+        return refused;
+    }
     message.client_request = true;
-    message.key = make_shed_key(class_of_priority(call.matched_route->priority),
-                                message.request_id, 1);
+    const auto priority =
+        call.sender == nullptr
+            ? call.matched_route->priority
+            : call.sender->priority.value_or(call.matched_route->priority);
+    message.key =
+        make_shed_key(class_of_priority(priority), message.request_id, 1);
     const auto objective = call.matched_route->objective;
     message.prioritized =
         objective > duration::zero() && objective <= max_prioritized_objective;
@@ -224,12 +255,34 @@
     log(log_level::info, "request_shed",
         "request={} route={} version={} priority={} service={} pressure={:.2f} "
         "pressure_age_ms={} admitted={:.2f} outcome=not-run",
-        message.request_id, message.route, configuration_version(),
-        call.matched_route->priority, refusal->service, refusal->pressure,
+        message.request_id, message.route, configuration_version(), priority,
+        refusal->service, refusal->pressure,
         milliseconds(refusal->pressure_age), refusal->admitted_share);
     return engine::make_refusal(reason::downstream_overload);
 }
 
+std::optional<answer> egress::identify_sender(const http_request& request,
+                                              open_call& call) const
+{
+    if (!organisations_->keys_required() || call.matched_route->anonymous)
+    {
+        return std::nullopt;
+    }
+    const auto key = find_only_header(request.headers, options_.names.key);
+    call.sender =
+        key.size() > max_key_bytes ? nullptr : organisations_->find_by_key(key);
+    if (call.sender == nullptr)
+    {
+        log(log_level::info, "key_unknown",
+            "request={} route={} key_digest={} version={}",
+            call.message.request_id, call.matched_route->name, key_digest(key),
+            configuration_version());
+        return engine::make_rejection(reason::unknown_key);
+    }
+    call.message.organisation = call.sender->name;
+    return std::nullopt;
+}
+
 void egress::set_deadline(const http_request& request, time_point now,
                           open_call& call)
 {
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -232,11 +232,11 @@
     {
         retry_budget_.record_client_request(now);
     }
-    shared_.running.add(message.request_id,
-                        {message.key,
-                         message.deadline,
-                         {},
-                         message.retry != retry_cause::none});
+    shared_.running.add(message.request_id, {message.key,
+                                             message.deadline,
+                                             {},
+                                             message.retry != retry_cause::none,
+                                             message.organisation});
     // The caller's node keeps the request for another attempt.
     auto request = std::move(call.message.request);
     request.idempotent = message.idempotent;
@@ -247,6 +247,8 @@
         {
             return same_header_name(header.name, names.deadline) ||
                    same_header_name(header.name, names.caller_service) ||
+                   same_header_name(header.name, names.organisation) ||
+                   same_header_name(header.name, names.key) ||
                    same_header_name(header.name, names.expected_instance);
         });
     request.headers.push_back({names.request_id, message.request_id});
@@ -255,6 +257,10 @@
          fmt::format("{}", milliseconds(message.deadline - now))});
     request.headers.push_back({names.caller_service, message.caller_service});
     request.headers.push_back({names.expected_instance, message.instance});
+    if (!message.organisation.empty())
+    {
+        request.headers.push_back({names.organisation, message.organisation});
+    }
     ++shared_.metrics.backend_starts;
     backend_.start(id, request);
 }
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -216,6 +216,7 @@
     out.set_service(call.service);
     out.set_caller_service(call.caller_service);
     out.set_route(call.route);
+    out.set_organisation(call.organisation);
     out.set_remaining_us(remaining_us(call.deadline, now));
     out.set_shed_key(call.key);
     out.set_idempotent(call.idempotent);
@@ -248,6 +249,7 @@
     call.service = in.service();
     call.caller_service = in.caller_service();
     call.route = in.route();
+    call.organisation = in.organisation();
     call.deadline = now + std::chrono::microseconds(in.remaining_us());
     call.key = in.shed_key();
     call.idempotent = in.idempotent();
