Test organisations and keys; judge a request by its key whatever its id

A review of the reading of organisations found: a request with an unknown or revoked key ran if its id began with that of a running request, as it was taken for a call of the backend server; such a request is now judged by its key. An empty key in the table would have admitted requests without a key. A missing key was logged with the digest of an empty text.

The test with the id of a running request guards against the fault above.

--- a/src/jujubespan/config/mesh_settings_test.cpp
+++ b/src/jujubespan/config/mesh_settings_test.cpp
@@ -37,6 +37,42 @@
     EXPECT_EQ(value->stop_grace, std::chrono::seconds(6));
 }
 
+TEST(mesh_settings, reads_revocation_and_allowances)
+{
+    const auto defaults = parse_mesh_settings(
+        settings_json("\"first_start\": true"), "node.json");
+    ASSERT_TRUE(defaults.ok()) << defaults.status();
+    EXPECT_FALSE(defaults->revocation.strict);
+    EXPECT_EQ(defaults->revocation.bound, std::chrono::seconds(5));
+    EXPECT_EQ(defaults->allowance.window, std::chrono::seconds(5));
+    EXPECT_DOUBLE_EQ(defaults->allowance.tolerance, 0.25);
+    EXPECT_DOUBLE_EQ(defaults->allowance.slack, 20);
+    const auto value =
+        parse_mesh_settings(settings_json(R"("strict_revocation": true,
+                         "revocation_bound_ms": 4000, "allowance_window_s": 2,
+                         "allowance_tolerance": 0.5, "allowance_slack": 3)"),
+                            "node.json");
+    ASSERT_TRUE(value.ok()) << value.status();
+    EXPECT_TRUE(value->revocation.strict);
+    EXPECT_EQ(value->revocation.bound, std::chrono::seconds(4));
+    EXPECT_EQ(value->allowance.window, std::chrono::seconds(2));
+    EXPECT_DOUBLE_EQ(value->allowance.tolerance, 0.5);
+    EXPECT_DOUBLE_EQ(value->allowance.slack, 3);
+}
+
+TEST(mesh_settings, rejects_revocation_and_allowances_out_of_range)
+{
+    for (const auto* field :
+         {"\"revocation_bound_ms\": 100", "\"strict_revocation\": 1",
+          "\"allowance_window_s\": 0", "\"allowance_tolerance\": -0.1",
+          "\"allowance_slack\": -1"})
+    {
+        EXPECT_FALSE(
+            parse_mesh_settings(settings_json(field), "node.json").ok())
+            << field;
+    }
+}
+
 TEST(mesh_settings, call_listen_address_defaults_to_none)
 {
     const auto direct = parse_mesh_settings(
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -36,6 +36,13 @@
 
 constexpr std::size_t max_key_bytes = 256;
 
+bool has_header(std::span<const http_header> headers, std::string_view name)
+{
+    return std::any_of(headers.begin(), headers.end(),
+                       [name](const http_header& header)
+                       { return same_header_name(header.name, name); });
+}
+
 // Value of the only header with a name; empty when there is none or several.
 std::string_view find_only_header(std::span<const http_header> headers,
                                   std::string_view name)
@@ -221,7 +228,14 @@
     message.service = table_->choose_target(*call.matched_route);
     message.route = call.matched_route->name;
     message.idempotent = call.matched_route->idempotent();
-    const auto* parent = shared_.running.find_parent(message.request_id);
+    // Calls made by a backend server carry no key. A request with a key is
+    // judged by it, even if its id names a running request.
+    const bool is_client_request =
+        organisations_->keys_required() &&
+        has_header(request.headers, options_.names.key);
+    const auto* parent = is_client_request
+                             ? nullptr
+                             : shared_.running.find_parent(message.request_id);
     call.is_nested = parent != nullptr;
     if (call.is_nested)
     {
@@ -275,8 +289,8 @@
     {
         log(log_level::info, "key_unknown",
             "request={} route={} key_digest={} version={}",
-            call.message.request_id, call.matched_route->name, key_digest(key),
-            configuration_version());
+            call.message.request_id, call.matched_route->name,
+            key.empty() ? "-" : key_digest(key), configuration_version());
         return engine::make_rejection(reason::unknown_key);
     }
     call.message.organisation = call.sender->name;
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -459,5 +459,177 @@
     }
 }
 
+// Requests with keys. "big" and "small" hold one key each; "big" has a priority
+// of its own. The route "open" needs no key.
+class egress_organisations : public egress_test
+{
+protected:
+    egress_organisations() { configure({big, small}); }
+
+    void configure(std::vector<organisation> organisations)
+    {
+        auto next = std::make_shared<configuration>();
+        next->version = ++version;
+        next->routes = {make_route("read", "/read/", true),
+                        make_route("open", "/open/", true)};
+        next->routes[0].priority = 2;
+        next->routes[1].anonymous = true;
+        next->organisations = std::move(organisations);
+        target.apply(std::move(next));
+        target.apply(directory, now);
+    }
+
+    void send(std::uint64_t exchange, std::vector<http_header> headers,
+              const std::string& path = "/read/1", const std::string& id = "")
+    {
+        headers.insert(headers.begin(),
+                       {{"Host", "shop.example"},
+                        {options.names.request_id,
+                         id.empty() ? "id-" + std::to_string(exchange) : id}});
+        target.on_request(exchange, {"GET", path, std::move(headers), ""}, now);
+    }
+
+    [[nodiscard]] http_header key(std::string value) const
+    {
+        return {options.names.key, std::move(value)};
+    }
+
+    // Neither the key nor a header of the organisation leaves the node.
+    void expect_stripped(const routed_call& call) const
+    {
+        for (const auto& header : call.request.headers)
+        {
+            EXPECT_FALSE(same_header_name(header.name, options.names.key));
+            EXPECT_FALSE(
+                same_header_name(header.name, options.names.organisation));
+        }
+    }
+
+    std::uint64_t version{0};
+    organisation big{"big", {"key-of-big"}, 0, {}};
+    organisation small{"small", {"key-of-small"}, {}, {}};
+};
+
+TEST_F(egress_organisations, request_without_a_known_key_does_not_run)
+{
+    std::uint64_t exchange = 0;
+    const std::vector<std::vector<http_header>> cases{
+        {},
+        {key("")},
+        {key("key-of-nobody")},
+        {key("key-of-big"), key("key-of-big")},
+        {key("key-of-big"), key("key-of-small")},
+        {key("key-of-big "), key("")},
+        {key(std::string(64U << 10U, 'k'))},
+        {key(std::string("key-of-big\0", 11))},
+        {key("key-of-big\r\nX: y\x7f")},
+        {key("KEY-OF-BIG")},
+        {{options.names.organisation, "big"}}};
+    ::testing::internal::CaptureStdout();
+    for (const auto& headers : cases)
+    {
+        send(++exchange, headers);
+        EXPECT_EQ(status(exchange), 401U) << "case " << exchange;
+    }
+    const auto log_text = ::testing::internal::GetCapturedStdout();
+    EXPECT_EQ(log_text.find("key-of"), std::string::npos) << log_text;
+    EXPECT_EQ(log_text.find("kkkk"), std::string::npos) << log_text;
+    EXPECT_TRUE(peers.calls.empty());
+}
+
+// A key of 257 bytes is refused even if the configuration lists it.
+TEST_F(egress_organisations, key_of_more_than_256_bytes_is_unknown)
+{
+    configure(
+        {{"long", {std::string(256, 'a'), std::string(257, 'a')}, {}, {}}});
+    send(1, {key(std::string(256, 'a'))});
+    EXPECT_EQ(peers.calls.size(), 1U);
+    send(2, {key(std::string(257, 'a'))});
+    EXPECT_EQ(status(2), 401U);
+}
+
+TEST_F(egress_organisations, anonymous_route_needs_no_key_and_removes_it)
+{
+    send(1, {}, "/open/1");
+    send(2, {key("key-of-big"), {options.names.organisation, "big"}},
+         "/open/1");
+    send(3, {key("key-of-nobody")}, "/open/1");
+    ASSERT_EQ(peers.calls.size(), 3U);
+    for (const auto& call : peers.calls)
+    {
+        EXPECT_EQ(call.organisation, "");
+        expect_stripped(call);
+    }
+}
+
+// The stripped request is the one that a retry sends.
+TEST_F(egress_organisations, key_and_forged_organisation_reach_no_attempt)
+{
+    send(1, {{"jujubespan-KEY", "key-of-small"},
+             {options.names.organisation, "big"},
+             {"jujubespan-organisation", "big"}});
+    reply(engine::make_refusal(reason::queue_full, true), false);
+    reply(answered(500));
+    ASSERT_EQ(peers.calls.size(), 3U);
+    for (const auto& call : peers.calls)
+    {
+        EXPECT_EQ(call.organisation, "small");
+        expect_stripped(call);
+    }
+}
+
+// The sender's name must not be read from a configuration that was replaced.
+TEST_F(egress_organisations, request_in_progress_outlives_its_key)
+{
+    send(1, {key("key-of-small")});
+    configure({big});
+    reply(engine::make_refusal(reason::queue_full, true), false);
+    ASSERT_EQ(peers.calls.size(), 2U);
+    EXPECT_EQ(peers.calls[1].organisation, "small");
+    reply(answered(200));
+    EXPECT_EQ(status(1), 200U);
+    send(2, {key("key-of-small")});
+    EXPECT_EQ(status(2), 401U);
+}
+
+TEST_F(egress_organisations, priority_of_the_organisation_precedes_the_routes)
+{
+    send(1, {key("key-of-big")});
+    send(2, {key("key-of-small")});
+    EXPECT_EQ(class_of(peers.calls.at(0).key), all_request_classes[0]);
+    EXPECT_EQ(class_of(peers.calls.at(1).key), all_request_classes[2]);
+}
+
+TEST_F(egress_organisations,
+       call_of_a_running_request_inherits_its_organisation)
+{
+    shared.running.add("id-7", {7, now + 1s, {}, false, "small"});
+    send(1, {{options.names.organisation, "big"}}, "/read/1", "id-7.x");
+    ASSERT_EQ(peers.calls.size(), 1U);
+    EXPECT_EQ(peers.calls[0].organisation, "small");
+    EXPECT_FALSE(peers.calls[0].client_request);
+    expect_stripped(peers.calls[0]);
+}
+
+// A revoked key must not run under the id of a running request.
+TEST_F(egress_organisations, id_of_a_running_request_does_not_replace_a_key)
+{
+    shared.running.add("id-7", {7, now + 1s, {}, false, "small"});
+    send(1, {key("key-of-nobody")}, "/read/1", "id-7.x");
+    EXPECT_EQ(status(1), 401U);
+    send(2, {key("key-of-big")}, "/read/1", "id-7.y");
+    ASSERT_EQ(peers.calls.size(), 1U);
+    EXPECT_EQ(peers.calls[0].organisation, "big");
+}
+
+// Without organisations the headers mean nothing, but still stay at the entry.
+TEST_F(egress_test, configuration_without_organisations_needs_no_key)
+{
+    configure();
+    request(1, "/read/1");
+    ASSERT_EQ(peers.calls.size(), 1U);
+    EXPECT_EQ(peers.calls[0].organisation, "");
+}
+
 } // namespace
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 namespace jujubespan::mesh
@@ -95,7 +96,10 @@
         message.request.method = "GET";
         message.request.target = "/r/1";
         message.request.body = body;
-        message.request.headers = {{names.caller_service, "forged"}};
+        message.organisation = organisation;
+        message.request.headers = {{names.caller_service, "forged"},
+                                   {names.organisation, "forged"},
+                                   {names.key, "secret"}};
         target.on_call(exchange, std::move(message), now);
     }
 
@@ -113,7 +117,8 @@
     }
 
     time_point now{start};
-    std::string body; // of the requests of further calls
+    std::string body;         // of the requests of further calls
+    std::string organisation; // of further calls
     header_names names;
     mesh_state shared;
     recording_backend backend;
@@ -132,6 +137,29 @@
     EXPECT_EQ(find_header(headers, names.request_id), "id-1");
 }
 
+// A node of an earlier version may have forwarded a client's headers.
+TEST_F(guard_test, backend_server_gets_the_organisation_and_no_key)
+{
+    organisation = "big";
+    call(1);
+    organisation.clear();
+    call(2);
+    const auto count = [this](std::uint64_t exchange, const std::string& name)
+    {
+        const auto& headers = backend.requests.at(exchange).headers;
+        return std::count_if(headers.begin(), headers.end(),
+                             [&name](const http_header& header)
+                             { return same_header_name(header.name, name); });
+    };
+    EXPECT_EQ(find_header(backend.requests.at(1).headers, names.organisation),
+              "big");
+    EXPECT_EQ(count(1, names.organisation), 1);
+    EXPECT_EQ(count(2, names.organisation), 0);
+    EXPECT_EQ(count(1, names.key) + count(2, names.key), 0);
+    EXPECT_EQ(shared.running.find_parent("id-1.x")->organisation, "big");
+    EXPECT_EQ(shared.running.find_parent("id-2.x")->organisation, "");
+}
+
 TEST_F(guard_test, signed_response_is_forwarded)
 {
     call(1);
--- a/src/jujubespan/mesh/organisation_table.cpp
+++ b/src/jujubespan/mesh/organisation_table.cpp
@@ -42,7 +42,8 @@
 
 const organisation* organisation_table::find_by_key(std::string_view key) const
 {
-    return find_in(by_key_, key);
+    // A missing header reads as an empty key, which nobody may hold.
+    return key.empty() ? nullptr : find_in(by_key_, key);
 }
 
 const organisation*
--- a/src/jujubespan/peer/codec_test.cpp
+++ b/src/jujubespan/peer/codec_test.cpp
@@ -46,6 +46,21 @@
     EXPECT_EQ(decode_routed(message, now)->known_rate_limit, 0);
 }
 
+TEST(peer_codec, call_carries_the_organisation)
+{
+    auto call = make_call();
+    v1::Call message;
+    encode(call, now, message);
+    EXPECT_EQ(decode_routed(message, now)->organisation, "");
+    const auto size_without = message.ByteSizeLong();
+    call.organisation = "big";
+    encode(call, now, message);
+    EXPECT_EQ(decode_routed(message, now)->organisation, "big");
+    EXPECT_EQ(message.ByteSizeLong(),
+              size_without + 3 + call.organisation.size())
+        << "absent without an organisation";
+}
+
 TEST(peer_codec, rate_limit_that_is_no_number_is_dropped)
 {
     v1::Call message;
