Soak: organisations with keys that are added and revoked while faults run

The soak sent no keys, so nothing checked on real processes that a request without a valid key does not run, that backend servers get the right name and no key, and that a revoked key stops working.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -132,7 +132,12 @@
             time.monotonic(), False,
             message.headers.get(platform_store.CALLER_SERVICE.lower(), ""),
             sent is not None and message.body == sent.body
-            and message.words[1] == sent.target)
+            and message.words[1] == sent.target,
+            organisation=message.headers.get(
+                platform_store.ORGANISATION.lower(), ""),
+            key_seen=platform_store.API_KEY.lower() in message.headers
+            or any(key in value for key in self.ledger.keys
+                   for value in message.headers.values()))
         self.ledger.arrivals.append(arrival)
         echo = {platform_store.REQUEST_ID: request_id}
         if expected_instance != self.instance:
@@ -193,6 +198,8 @@
             call = SentRequest(f"{request_id}.{suffix}", route,
                                self.config.name, target, b"",
                                time.monotonic(), parent=request_id)
+            if self.ledger.keys and suffix.startswith("0"):
+                call.forged_organisation = "forged-by-a-server"
             await send_request(self.ledger, call,
                            self.config.listen_address("client"),
                            deadline - time.monotonic())
--- a/soak/client.py
+++ b/soak/client.py
@@ -6,7 +6,7 @@
 import time
 
 import store_standin as platform_store
-from soak import http
+from soak import http, organisations
 from soak.ledger import SentRequest
 
 REQUEST_DEADLINE_S = 3.0
@@ -36,7 +36,8 @@
         message = http.request(
             method, sent.target, sent.route.host,
             {platform_store.REQUEST_ID: sent.id,
-             platform_store.DEADLINE_MS: str(int(deadline_s * 1000))},
+             platform_store.DEADLINE_MS: str(int(deadline_s * 1000)),
+             **organisations.headers_of(sent)},
             sent.body)
         sent.at = time.monotonic()
         writer.write(message.encode())
@@ -105,12 +106,15 @@
 class Client:
     """Sends requests to one node, one at a time, and reuses its connection."""
 
-    def __init__(self, node, ledger, current_routes, seed):
+    def __init__(self, node, ledger, current_routes, seed,
+                 key_source=None):
         self.node = node
         self.ledger = ledger
         # A function, since the routes change during a run.
         self.current_routes = current_routes
         self.random = random.Random(seed)
+        self.key_source = key_source  # None: requests need no key
+        self.key_random = random.Random(f"keys {seed}")
         self.pause_s = 0.4   # mean time between two requests
         self.gives_up = 0.0  # share of the requests that are abandoned
         self.running = True
@@ -128,6 +132,8 @@
                                f"{route.prefix}{request_id[:4]}", body,
                                time.monotonic(),
                                reused_connection=connection is not None)
+            if self.key_source is not None:
+                self.key_source.add_headers(sent, self.key_random)
             abandons = self.random.random() < self.gives_up
             request_task = asyncio.create_task(send_request(
                 self.ledger, sent, self.node.config.listen_address("client"),
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -54,6 +54,9 @@
         """Starts faults for a time, then waits until all have ended."""
         until = time.monotonic() + seconds
         tasks = set()
+        if self.fleet.organisations is not None:
+            tasks.add(asyncio.create_task(
+                self.fleet.organisations.change_keys(self.fleet, seconds)))
         while time.monotonic() < until:
             await asyncio.sleep(self.random.uniform(0.1, 1.2))
             inject_fault = self.random.choice(self.fault_functions)
@@ -312,6 +315,8 @@
             sent = SentRequest(f"{self.random.getrandbits(64):016x}", route,
                                node.config.name, target, body,
                                time.monotonic())
+            if self.fleet.organisations is not None:
+                sent.keys = (self.fleet.organisations.valid_keys()[0],)
             await send_request(self.ledger, sent,
                                node.config.listen_address("client"),
                                REQUEST_DEADLINE_S)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,6 +13,7 @@
 from soak.faults import FaultInjector
 from soak.ledger import Ledger
 from soak.node import Node
+from soak.organisations import Organisations
 
 STARTUP_TIMEOUT_S = 20.0  # until all nodes are ready
 RECOVERY_S = 8.0          # from the end of the last fault to the check
@@ -28,21 +29,25 @@
             tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.ledger = Ledger()
         self.process_failures = []
-        self.routes = plan.initial_routes()
+        self.organisations = (Organisations(self.ledger, seed)
+                              if plan.has_organisations(seed) else None)
+        self.routes = plan.initial_routes(self.organisations is not None)
         self.version = 1
         self.store = platform_store.Store(plan.store_address(network_octet),
                                           seed)
         configs = plan.create_instance_configs(network_octet,
                                                nodes_per_service)
         self.nodes = [Node(config, self.directory, self.ledger,
-                           seed * 1000 + config.number)
+                           seed * 1000 + config.number,
+                           self.organisations is not None)
                       for config in configs]
         self.backends = [Backend(config, self.store, self.ledger,
                                  seed * 2000 + config.number)
                          for config in configs]
         self.clients = [
             Client(node, self.ledger, self.client_routes,
-                   seed * 3000 + index * 100 + node.config.number)
+                   seed * 3000 + index * 100 + node.config.number,
+                   self.organisations)
             for node in self.nodes for index in range(clients_per_node)]
         self.tasks = []
 
@@ -64,10 +69,16 @@
         self.ledger.configurations.append(
             (time.monotonic(), {r.name: set(r.targets) for r in self.routes}))
 
+    def publish_keys(self):
+        self.version += 3
+        self.publish_configuration()
+
     def put_configuration(self):
+        organisations = (None if self.organisations is None
+                         else self.organisations.rows())
         self.store.put(
             platform_store.CONFIGURATION_KEY, platform_store.configuration(
-                self.version, self.routes, plan.SERVICES))
+                self.version, self.routes, plan.SERVICES, organisations))
 
     async def start(self):
         await self.store.start()
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -27,6 +27,8 @@
     # unsent: could not be sent
     outcome: str = ""
     detail: str = ""    # what was wrong with the response or the connection
+    keys: tuple = ()    # one header each
+    forged_organisation: str = ""
 
 
 @dataclass
@@ -44,6 +46,8 @@
     crashed: bool = False   # it ended the server
     cancelled_at: float = 0
     ended: float = 0     # time at which its execution completed or stopped
+    organisation: str = ""  # name in the node's header
+    key_seen: bool = False  # a header held a key
 
 
 @dataclass
@@ -71,6 +75,16 @@
     end: float = 0
 
 
+@dataclass
+class KeyHolding:
+    """A key that an organisation holds or held."""
+
+    organisation: str
+    added_at: float
+    # Time at which the store acknowledged the configuration without the key.
+    revoked_at: float = 0
+
+
 @dataclass
 class Ledger:
     sent: dict = field(default_factory=dict)      # id: request
@@ -80,6 +94,7 @@
     configurations: list = field(default_factory=list)
     draining: dict = field(default_factory=dict)  # instance: drain start
     rate_limits: list = field(default_factory=list)
+    keys: dict = field(default_factory=dict)  # key: KeyHolding
     # (node, instance): time at which the node first passed on a response in
     # which the instance announced a limit, or that it leaves
     told_limit: dict = field(default_factory=dict)
--- a/soak/node.py
+++ b/soak/node.py
@@ -24,7 +24,8 @@
 
 
 class Node:
-    def __init__(self, config, directory, ledger, seed):
+    def __init__(self, config, directory, ledger, seed,
+                 strict_revocation=False):
         self.config = config
         self.directory = directory
         self.ledger = ledger
@@ -32,6 +33,7 @@
         self.exit_expected = True
         self.in_rotation = False
         self.first_start = True
+        self.strict_revocation = strict_revocation
         self.log_level = "info"
         self.call_proxy = Proxy(config.advertised_address("call"),
                                 config.listen_address("call"), seed)
@@ -48,6 +50,9 @@
         def to_text(address):
             return "%s:%d" % address
         config = self.config
+        revocation = {} if not self.strict_revocation else {
+            "strict_revocation": True,
+            "revocation_bound_ms": int(plan.REVOCATION_BOUND_S * 1000)}
         self.settings_file.write_text(json.dumps({
             "id": config.name, "service": config.service,
             "failure_domain": config.domain,
@@ -61,7 +66,7 @@
             "first_start": self.first_start, "stop_grace_s": STOP_GRACE_S,
             "retry_ratio": plan.RETRY_RATIO, "retry_slack": plan.RETRY_SLACK,
             "retry_window_s": plan.RETRY_WINDOW_S,
-            "log_level": self.log_level}))
+            **revocation, "log_level": self.log_level}))
 
     async def start_with_proxies(self):
         await self.call_proxy.start()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -18,6 +18,11 @@
 # target. One with CHAIN_PART makes calls with CRASH_PART.
 CRASH_PART = "/crash-"
 CHAIN_PART = "/chain-"
+# Seeds with this remainder have organisations. Seeds of earlier failures have
+# none.
+ORGANISATIONS_DIVISOR = 4
+ORGANISATIONS_REMAINDER = 3
+REVOCATION_BOUND_S = 5.0
 
 
 @dataclass
@@ -31,15 +36,20 @@
     objective_ms: int = 1000
     priority: int = 2
     max_attempts: int = 2
+    anonymous: bool = False  # Its requests need no key.
 
 
-def initial_routes():
+def has_organisations(seed):
+    return seed % ORGANISATIONS_DIVISOR == ORGANISATIONS_REMAINDER
+
+
+def initial_routes(has_anonymous_route=False):
     routes = [
         Route("view", "shop.example", "/view/", True, {"front": 1}),
         Route("buy", "shop.example", "/buy/", False, {"middle": 1},
               priority=0),
         Route("look", "shop.example", "/look/", True,
-              {"middle": 70, "deep": 30}),
+              {"middle": 70, "deep": 30}, anonymous=has_anonymous_route),
         Route("mark", "desk.example", "/mark/", False, {"deep": 1},
               timeout_ms=0, objective_ms=300),
     ]
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -89,6 +89,7 @@
             self.check_timeout(sent)
             self.check_not_lost(sent)
             self.check_routing(sent)
+            self.check_organisation(sent)
         self.check_arrivals_were_sent()
         self.check_cancellation()
         self.check_drain()
@@ -168,6 +169,75 @@
                 self.add_violation("CALLER", sent,
                                    f"wrong caller {arrival.caller}")
 
+    def holding_of(self, sent):
+        """Returns the KeyHolding of a request's key.
+
+        Returns None if it has no key, several keys or a key that no
+        configuration held.
+        """
+        return self.ledger.keys.get(sent.keys[0]) if len(sent.keys) == 1 \
+            else None
+
+    def needs_key(self, sent):
+        return bool(self.ledger.keys) and not sent.route.anonymous
+
+    def check_organisation(self, sent):
+        """Checks the keys of requests and the names that arrive with them.
+
+        Calls made by backend servers have the organisation of the request
+        that makes them.
+        """
+        for arrival in self.arrivals[sent.id]:
+            if arrival.key_seen:
+                self.add_violation("LEAK", sent, "a key reached "
+                                   f"{arrival.instance}")
+        origin = sent
+        while origin is not None and origin.parent:
+            origin = self.ledger.sent.get(origin.parent)
+        if origin is None or not self.ledger.keys:
+            return
+        holding = self.holding_of(origin) if self.needs_key(origin) else None
+        name = "" if holding is None else holding.organisation
+        for arrival in self.executed_arrivals(sent.id):
+            if holding is None and self.needs_key(origin):
+                self.add_violation("KEY", sent, "executed without a valid key")
+            elif arrival.organisation != name:
+                self.add_violation("ORGANISATION", sent,
+                                   f"is of \"{name}\", executed as of "
+                                   f"\"{arrival.organisation}\"")
+        if sent is origin and holding is not None:
+            self.check_revocation(sent, holding)
+
+    def check_revocation(self, sent, holding):
+        """Checks that a key is accepted while it is held and not later."""
+        revoked_at = holding.revoked_at
+        if (sent.status == 401
+                and (not revoked_at or sent.ended < revoked_at)
+                and sent.at > holding.added_at + CONFIG_CONVERGENCE_S
+                and self.is_undisturbed(sent, sent.ended)
+                and self.is_timing_reliable(holding.added_at, sent.ended)):
+            self.add_violation("DENIED", sent, "its key was valid")
+        if not revoked_at or not self.executed_arrivals(sent.id):
+            return
+        if (sent.at > revoked_at + plan.REVOCATION_BOUND_S
+                and not self.was_restored(sent.at)):
+            self.add_violation(
+                "REVOKED", sent, "executed with a key that was revoked "
+                f"{sent.at - revoked_at:.2f} s before")
+        elif (sent.at > revoked_at + CONFIG_CONVERGENCE_S
+              and self.ledger.is_undisturbed(
+                  sent.node, revoked_at - RECONNECT_S, sent.ended)
+              and self.is_timing_reliable(revoked_at, sent.ended)):
+            self.add_violation(
+                "CONFIG", sent, "executed with a key that was revoked "
+                f"{sent.at - revoked_at:.2f} s before")
+
+    def was_restored(self, at):
+        """Tells whether the store may hold an earlier configuration."""
+        return any(d.kind == "restored store" and d.start <= at
+                   and (not d.end or at <= d.end + plan.REVOCATION_BOUND_S)
+                   for d in self.ledger.disturbances)
+
     def check_arrivals_were_sent(self):
         for request_id, arrivals in self.arrivals.items():
             sent = self.ledger.sent.get(request_id)
@@ -344,7 +414,9 @@
         sent = [s for s in self.ledger.sent.values()
                 if not s.parent and since <= s.at < until
                 and s.outcome != "gave-up"
-                and not is_crashing(s.target)]
+                and not is_crashing(s.target)
+                and not (self.needs_key(s) and self.holding_of(s) is None)
+                and not (self.needs_key(s) and self.holding_of(s).revoked_at)]
         successful = sum(s.status == 200 for s in sent)
         if not sent or successful < MIN_SUCCESS_RATIO * len(sent):
             self.violations.append(
--- a/soak/promises_test.py
+++ b/soak/promises_test.py
@@ -3,8 +3,8 @@
 import unittest
 
 from soak import plan
-from soak.ledger import (Arrival, Disturbance, Ledger, RateLimit,
-                         SentRequest)
+from soak.ledger import (Arrival, Disturbance, KeyHolding, Ledger,
+                         RateLimit, SentRequest)
 from soak.promises import PromiseChecker
 
 START = 100.0
@@ -43,6 +43,56 @@
         checker = PromiseChecker(self.ledger, {"node-1": "front"})
         return sorted({line.split()[0] for line in checker.check_all()})
 
+    def add_keyed(self, *keys, number=1, organisation="org-0", **fields):
+        """Adds an executed request with key headers."""
+        sent = self.add_request(number=number, keys=keys, **fields)
+        self.add_arrival(sent, organisation=organisation)
+        return sent
+
+    def test_request_without_a_valid_key_runs(self):
+        self.ledger.keys = {"k": KeyHolding("org-0", 1.0)}
+        self.add_keyed("k")
+        self.assertEqual(self.find_broken_rules(), [])
+        for number, keys in enumerate([(), ("wrong",), ("k", "k")]):
+            self.setUp()
+            self.ledger.keys = {"k": KeyHolding("org-0", 1.0)}
+            self.add_keyed(*keys, number=number, organisation="")
+            self.assertEqual(self.find_broken_rules(), ["KEY"], keys)
+
+    def test_backend_server_gets_another_organisation_or_the_key(self):
+        self.ledger.keys = {"k": KeyHolding("org-0", 1.0)}
+        sent = self.add_keyed("k")
+        call = self.add_request("call-middle", 2, parent=sent.id)
+        arrival = self.add_arrival(call, organisation="org-0")
+        self.assertEqual(self.find_broken_rules(), [])
+        arrival.organisation = "org-1"
+        self.assertEqual(self.find_broken_rules(), ["ORGANISATION"])
+        arrival.key_seen = True
+        self.assertEqual(self.find_broken_rules(), ["LEAK", "ORGANISATION"])
+
+    def test_revoked_key_runs_after_the_bound(self):
+        bound = plan.REVOCATION_BOUND_S
+        self.ledger.keys = {"k": KeyHolding("org-0", 1.0, START - 1)}
+        self.add_keyed("k")
+        self.assertEqual(self.find_broken_rules(), [], "within the bound")
+        self.ledger.keys["k"].revoked_at = START - bound + 1
+        self.assertEqual(self.find_broken_rules(), ["CONFIG"], "undisturbed")
+        self.add_disturbance(START - 1, START + 1)
+        self.assertEqual(self.find_broken_rules(), [])
+        self.ledger.keys["k"].revoked_at = START - bound - 0.1
+        self.assertEqual(self.find_broken_rules(), ["REVOKED"], "whatever")
+        self.ledger.disturbances[0].kind = "restored store"
+        self.assertEqual(self.find_broken_rules(), [], "listed again")
+
+    def test_valid_key_is_denied(self):
+        self.ledger.keys = {"k": KeyHolding("org-0", START - 1)}
+        self.add_request(keys=("k",), status=401)
+        self.assertEqual(self.find_broken_rules(), [], "just added")
+        self.ledger.keys["k"].added_at = START - 5
+        self.assertEqual(self.find_broken_rules(), ["DENIED"])
+        self.ledger.keys["k"].revoked_at = START - 1
+        self.assertEqual(self.find_broken_rules(), [])
+
     def add_crashing_requests(self, start, count, crashed):
         for index in range(count):
             sent = self.add_request(
