Entry admission: share the part of a route among organisations

Under overload the requests of all organisations on a route were refused alike, so that one that sends many times its usual rate displaced the others. The part of a route is now divided by weighted max-min fairness among the organisations that send its requests. One half has equal weights and the rest the rates of the allowances, since a node sees all requests of an organisation with few clients but a small part of those of a large one.

--- a/include/jujubespan/mesh/entry_admission.hpp
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -36,10 +36,18 @@
     std::string service; ///< The overloaded service.
     double pressure{0};
     duration pressure_age{}; ///< Time since the pressure was last updated.
-    /// Admitted share of the requests of the route.
+    /// Admitted share of the requests of the route and the sender.
     double admitted_share{0};
 };
 
+/// @brief The organisation that sends a request.
+struct request_sender
+{
+    std::string_view organisation; ///< Empty: none.
+    /// Rate of its allowance, in requests per second; zero: no limit.
+    double rate{0};
+};
+
 /// @brief Admission control for client requests, by the pressure of every
 /// service that their route calls, directly or indirectly.
 ///
@@ -48,9 +56,12 @@
 /// pressure that resulted from it. The admitted load is allocated to the
 /// classes in order, so that a lower class gets what the higher ones leave.
 /// Within a class it is divided among the routes by max-min fairness: a route
-/// with little demand is not refused because another has much. Within a route
-/// the requests with the highest positions in their class are refused. The
-/// position of a request, part of its shed key, is the same for all services.
+/// with little demand is not refused because another has much. The part of a
+/// route is divided among the organisations that send its requests: one half by
+/// max-min fairness with equal weights, the rest with the rates of their
+/// allowances as weights. Within a part the requests with the highest positions
+/// in their class are refused. The position of a request, part of its shed key,
+/// is the same for all services.
 class entry_admission
 {
 public:
@@ -66,10 +77,11 @@
     /// @param route name of the request's route.
     /// @param costs mean costs of that route.
     /// @param key class of the request and its position in that class.
+    /// @param sender organisation that sends the request, if any.
     /// @return nothing when the request is admitted.
     std::optional<admission_refusal>
     check_request(std::string_view route, std::span<const service_cost> costs,
-                  shed_key key, time_point now);
+                  shed_key key, time_point now, request_sender sender = {});
 
     /// @brief Updates the admitted shares once per interval.
     void on_tick(time_point now);
@@ -87,12 +99,24 @@
     [[nodiscard]] double admitted_share(std::string_view service) const;
 
 private:
+    struct sender_demand
+    {
+        std::string organisation;
+        double rate{0};    ///< Of its allowance; zero: no limit.
+        double offered{0}; ///< Slot-seconds in this interval.
+        double demand{0};  ///< Slot-seconds per interval, smoothed.
+        double share{1};   ///< Share that is admitted.
+    };
+
     struct route_demand
     {
         std::string route;
         double offered{0}; ///< Slot-seconds in this interval.
         double demand{0};  ///< Slot-seconds per interval, smoothed.
         double share{1};   ///< Share that is admitted.
+        /// The organisations that send its requests. Their demand is part of
+        /// that of the route.
+        std::vector<sender_demand> senders;
     };
     using class_demand = std::vector<route_demand>;
 
@@ -115,8 +139,11 @@
 
     static route_demand& find_or_add_demand(class_demand& demand,
                                             std::string_view route);
+    static sender_demand& find_or_add_sender(route_demand& demand,
+                                             request_sender sender);
     static void update_demand(service_state& state);
     static void allocate(class_demand& demand, double budget);
+    static void allocate_to_senders(route_demand& route);
     static void update_share(service_state& state, time_point now);
 
     string_map<service_state> services_;
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -260,18 +260,25 @@
     const auto objective = call.matched_route->objective;
     message.prioritized =
         objective > duration::zero() && objective <= max_prioritized_objective;
+    const auto sender =
+        call.sender == nullptr
+            ? request_sender{}
+            : request_sender{call.sender->name, call.sender->allowance.rate};
     const auto refusal = shared_.admission.check_request(
-        message.route, costs_.mean_costs(message.route), message.key, now);
+        message.route, costs_.mean_costs(message.route), message.key, now,
+        sender);
     if (!refusal)
     {
         return std::nullopt;
     }
     log(log_level::info, "request_shed",
         "request={} route={} version={} priority={} service={} pressure={:.2f} "
-        "pressure_age_ms={} admitted={:.2f} outcome=not-run",
+        "pressure_age_ms={} admitted={:.2f} outcome=not-run{}{}",
         message.request_id, message.route, configuration_version(), priority,
         refusal->service, refusal->pressure,
-        milliseconds(refusal->pressure_age), refusal->admitted_share);
+        milliseconds(refusal->pressure_age), refusal->admitted_share,
+        sender.organisation.empty() ? "" : " organisation=",
+        sender.organisation);
     return engine::make_refusal(reason::downstream_overload);
 }
 
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -622,6 +622,37 @@
     EXPECT_EQ(peers.calls[0].organisation, "big");
 }
 
+// The organisation must be passed to the admission control.
+TEST_F(egress_organisations, heavy_organisation_is_refused_first)
+{
+    big.priority.reset(); // The same class as the other.
+    configure({big, small});
+    std::uint64_t exchange = 0;
+    std::map<std::string, int> refused;
+    for (const auto end = now + 10s; now < end; now += 10ms)
+    {
+        int admitted = 0;
+        for (const auto* sender : {"small", "big", "big", "big", "big", "big"})
+        {
+            send(++exchange, {key(std::string("key-of-") + sender)});
+            if (status(exchange) == 503U)
+            {
+                ++refused[sender];
+                continue;
+            }
+            ++admitted;
+            routed_reply message;
+            message.answer = answered(200);
+            message.costs = {{"s", 1, 0.1}};
+            target.on_reply(peers.calls.back().id, message, now);
+        }
+        shared.admission.on_pressure("s", admitted / 3.0, now); // room for 3
+        target.on_tick(now);
+    }
+    EXPECT_GT(refused["big"], 1000);
+    EXPECT_LT(refused["small"], 10); // of 1,000
+}
+
 // Without organisations the headers mean nothing, but still stay at the entry.
 TEST_F(egress_test, configuration_without_organisations_needs_no_key)
 {
--- a/src/jujubespan/mesh/entry_admission.cpp
+++ b/src/jujubespan/mesh/entry_admission.cpp
@@ -36,6 +36,12 @@
 // Routes with less demand than this, in slot-seconds per interval, are
 // removed.
 constexpr double min_route_demand = 1e-6;
+// Part of a route's room that is divided among its organisations with equal
+// weights. A node sees the requests of the few clients on its machine: an
+// organisation with few clients may send all its requests to this node, but one
+// with many clients sends only a part of them. With the rates of the allowances
+// alone as weights, the former would be refused although it offers little.
+constexpr double equal_part = 0.5;
 // Lower pressures are not reported, since callers need not react to them.
 constexpr double min_reported_pressure = 0.5;
 
@@ -72,14 +78,31 @@
     {
         return *found;
     }
-    demand.push_back({std::string(route)});
-    return demand.back();
+    auto& added = demand.emplace_back();
+    added.route = route;
+    return added;
 }
 
-std::optional<admission_refusal>
-entry_admission::check_request(std::string_view route,
-                               std::span<const service_cost> costs,
-                               shed_key key, time_point now)
+entry_admission::sender_demand&
+entry_admission::find_or_add_sender(route_demand& demand, request_sender sender)
+{
+    auto& senders = demand.senders;
+    auto found =
+        std::find_if(senders.begin(), senders.end(),
+                     [&sender](const sender_demand& item)
+                     { return item.organisation == sender.organisation; });
+    if (found == senders.end())
+    {
+        found =
+            senders.insert(senders.end(), {std::string(sender.organisation)});
+    }
+    found->rate = sender.rate; // Rates change with the configuration.
+    return *found;
+}
+
+std::optional<admission_refusal> entry_admission::check_request(
+    std::string_view route, std::span<const service_cost> costs, shed_key key,
+    time_point now, request_sender sender)
 {
     const auto cls = static_cast<std::size_t>(class_of(key));
     const double position =
@@ -90,9 +113,17 @@
         auto& state = services_[cost.service];
         auto& demand = find_or_add_demand(state.demand[cls], route);
         demand.offered += cost.slot_seconds;
-        const double share = state.estimate.pressure >= unreachable_pressure
-                                 ? min_admitted_share
-                                 : demand.share;
+        double share = demand.share;
+        if (!sender.organisation.empty())
+        {
+            auto& sender_demand = find_or_add_sender(demand, sender);
+            sender_demand.offered += cost.slot_seconds;
+            share = sender_demand.share;
+        }
+        if (state.estimate.pressure >= unreachable_pressure)
+        {
+            share = min_admitted_share;
+        }
         const bool is_lower = !refusal || share < refusal->admitted_share;
         if (position >= share && is_lower)
         {
@@ -105,16 +136,24 @@
 
 void entry_admission::update_demand(service_state& state)
 {
-    for (auto& routes : state.demand)
+    // Routes and organisations change with the configuration.
+    const auto update = [](auto& items)
     {
-        for (auto& item : routes)
+        for (auto& item : items)
         {
             item.demand += demand_weight * (item.offered - item.demand);
             item.offered = 0;
         }
-        // Routes change with the configuration.
-        std::erase_if(routes, [](const route_demand& item)
+        std::erase_if(items, [](const auto& item)
                       { return item.demand < min_route_demand; });
+    };
+    for (auto& routes : state.demand)
+    {
+        update(routes);
+        for (auto& item : routes)
+        {
+            update(item.senders);
+        }
     }
 }
 
@@ -134,6 +173,64 @@
         item.share = item.demand > 0 ? part / item.demand : 1;
         remaining -= part;
         --remaining_routes;
+        allocate_to_senders(item);
+    }
+}
+
+// Requests without an organisation keep the share of the route.
+void entry_admission::allocate_to_senders(route_demand& route)
+{
+    auto& senders = route.senders;
+    if (senders.empty())
+    {
+        return;
+    }
+    double total_demand = 0;
+    double total_rate = 0;
+    std::size_t limited = 0;
+    for (const auto& item : senders)
+    {
+        total_demand += item.demand;
+        total_rate += item.rate;
+        limited += item.rate > 0 ? 1 : 0;
+    }
+    // An organisation without a limit counts as one with the mean rate.
+    const double mean_rate =
+        limited > 0 ? total_rate / static_cast<double>(limited) : 1;
+    const double room = route.share * total_demand;
+    const double base = equal_part * room / static_cast<double>(senders.size());
+    struct claim
+    {
+        sender_demand* sender;
+        double weight;
+        double part;
+    };
+    std::vector<claim> claims;
+    double remaining = room;
+    double remaining_weight = 0;
+    for (auto& item : senders)
+    {
+        const double weight = item.rate > 0 ? item.rate : mean_rate;
+        claims.push_back({&item, weight, std::min(item.demand, base)});
+        remaining -= claims.back().part;
+        remaining_weight += weight;
+    }
+    const auto unmet = [](const claim& item)
+    { return item.sender->demand - item.part; };
+    std::sort(claims.begin(), claims.end(),
+              [&unmet](const claim& a, const claim& b)
+              { return unmet(a) * b.weight < unmet(b) * a.weight; });
+    for (auto& item : claims)
+    {
+        // At least its own weight, also after rounding.
+        remaining_weight = std::max(remaining_weight, item.weight);
+        const double added =
+            std::min(unmet(item),
+                     std::max(0.0, remaining) * item.weight / remaining_weight);
+        remaining -= added;
+        remaining_weight -= item.weight;
+        item.sender->share =
+            route.share >= 1 ? 1 : (item.part + added) / item.sender->demand;
     }
 }
 
--- a/src/jujubespan/mesh/entry_admission_test.cpp
+++ b/src/jujubespan/mesh/entry_admission_test.cpp
@@ -7,8 +7,11 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <deque>
 #include <random>
+#include <string>
+#include <utility>
 
 namespace jujubespan::mesh
 {
@@ -293,5 +296,221 @@
     EXPECT_TRUE(target.downstream_pressures(start + 2s).empty());
 }
 
+// Offers a fixed sequence of requests without organisations, at up to twice
+// the capacity of a service, and returns a digest of all decisions.
+std::uint64_t digest_of_decisions()
+{
+    entry_admission target;
+    fluid_service deep(138, 10);
+    std::mt19937_64 random{5};
+    const std::vector<service_cost> main_costs{{"deep", 4, 0.12},
+                                               {"other", 1, 0.02}};
+    const std::vector<service_cost> light_costs{{"deep", 1, 0.1}};
+    std::uint64_t digest = 0;
+    const auto offer = [&](std::string_view route, const auto& costs,
+                           request_class cls, time_point now)
+    {
+        const auto refusal =
+            target.check_request(route, costs, key_of(cls, random), now);
+        if (!refusal)
+        {
+            deep.admit(costs.front().slot_seconds);
+        }
+        constexpr std::uint64_t factor = 0x100000001b3;
+        digest =
+            (digest ^
+             (refusal ? std::bit_cast<std::uint64_t>(refusal->admitted_share)
+                      : 1)) *
+            factor;
+    };
+    for (int step = 0; step < 2000; ++step)
+    {
+        const auto now = start + step * 10ms;
+        const int load = step / 500 % 2 == 0 ? 4 : 12; // requests of each kind
+        for (int i = 0; i < load; ++i)
+        {
+            offer("main", main_costs, request_class::critical, now);
+            offer("main", main_costs, request_class::sheddable_plus, now);
+            offer(i % 2 == 0 ? "light" : "second", light_costs,
+                  request_class::sheddable_plus, now);
+        }
+        target.on_pressure("deep", deep.step(), now);
+        target.on_pressure("other", 1.3, now);
+        target.on_tick(now);
+    }
+    return digest;
+}
+
+// Sharing among organisations must not change what other deployments see. The
+// digest is that of the version before it was added.
+TEST(entry_admission, without_organisations_decisions_are_those_of_before)
+{
+    EXPECT_EQ(digest_of_decisions(), 0xc420372687f8960cU);
+}
+
+struct test_organisation
+{
+    std::string name;
+    double allowance;    // requests per second; 0: no limit
+    double request_rate; // requests per second that it sends
+    request_counts counts;
+};
+
+// Organisations that send requests of one class and route to a service with
+// room for 1,150 requests per second.
+class entry_admission_organisations : public ::testing::Test
+{
+protected:
+    void offer_load(duration length)
+    {
+        for (auto& item : organisations)
+        {
+            item.counts = {};
+        }
+        for (const auto end = now + length; now < end; now += 10ms)
+        {
+            for (auto& item : organisations)
+            {
+                offer(item);
+            }
+            target.on_pressure("deep", deep.step(), now);
+            target.on_tick(now);
+        }
+    }
+
+    void offer(test_organisation& sender)
+    {
+        std::poisson_distribution<int> arrivals(sender.request_rate / 100);
+        for (int i = arrivals(random); i > 0; --i)
+        {
+            ++sender.counts.offered;
+            if (!target.check_request("main", costs,
+                                      key_of(request_class::sheddable, random),
+                                      now, {sender.name, sender.allowance}))
+            {
+                ++sender.counts.admitted;
+                deep.admit(costs.front().slot_seconds);
+            }
+        }
+    }
+
+    // Share of the slots that the admitted requests used.
+    [[nodiscard]] double utilisation(duration length) const
+    {
+        double admitted = 0;
+        for (const auto& item : organisations)
+        {
+            admitted += item.counts.admitted;
+        }
+        return admitted * 0.12 / seconds(length) / 138;
+    }
+
+    std::vector<service_cost> costs{{"deep", 4, 0.12}};
+    entry_admission target;
+    fluid_service deep{138, 10};
+    std::mt19937_64 random{13};
+    time_point now{start};
+    // The limit is about 1.6 times the usual rate.
+    std::vector<test_organisation> organisations{{"heavy", 400, 250, {}},
+                                                 {"large", 400, 250, {}},
+                                                 {"second", 160, 100, {}},
+                                                 {"third", 160, 100, {}},
+                                                 {"small", 4.8, 3, {}}};
+};
+
+// Without the division among organisations, all of them would be refused the
+// same share of their requests.
+TEST_F(entry_admission_organisations, one_heavy_organisation)
+{
+    for (const double load : {1.5, 3.0})
+    {
+        organisations[0].request_rate = 250;
+        offer_load(5s);
+        organisations[0].request_rate = load * 1150 - 453;
+        for (const auto length : {5s, 15s}) // while it rises, and then
+        {
+            offer_load(length);
+            for (std::size_t i = 1; i < organisations.size(); ++i)
+            {
+                EXPECT_GT(organisations[i].counts.share(), 0.99)
+                    << organisations[i].name << " at " << load;
+            }
+        }
+        EXPECT_LT(organisations[0].counts.share(), 0.7) << load;
+        EXPECT_GT(utilisation(15s), 0.85) << load;
+        EXPECT_LT(utilisation(15s), 1.05) << load;
+    }
+}
+
+// An organisation with few clients sends all its requests to this node, the
+// others only a part. Its rate is far below theirs, but it offers little.
+TEST_F(entry_admission_organisations, small_rate_alone_is_no_reason_to_refuse)
+{
+    for (auto& item : organisations)
+    {
+        item.request_rate = 430;
+        item.allowance = 4000;
+    }
+    organisations[4] = {"small", 4.8, 30, {}};
+    offer_load(15s);
+    EXPECT_GT(organisations[4].counts.share(), 0.99);
+}
+
+// Beyond the half that is divided equally, the parts are as the rates. Every
+// organisation offers more than its part.
+TEST_F(entry_admission_organisations, parts_grow_with_the_rate)
+{
+    organisations = {{"three", 300, 1150, {}},
+                     {"one", 100, 1150, {}},
+                     {"unlimited", 0, 1150, {}}};
+    offer_load(5s);
+    offer_load(20s);
+    const double total = organisations[0].counts.admitted +
+                         organisations[1].counts.admitted +
+                         organisations[2].counts.admitted;
+    // Rates 300, 100 and their mean of 200.
+    EXPECT_NEAR(organisations[0].counts.admitted / total, 5.0 / 12, 0.03);
+    EXPECT_NEAR(organisations[1].counts.admitted / total, 3.0 / 12, 0.03);
+    EXPECT_NEAR(organisations[2].counts.admitted / total, 4.0 / 12, 0.03);
+}
+
+// If the parts were not cut at the same positions, one service would run
+// requests that another refuses.
+TEST_F(entry_admission_organisations, highest_positions_are_refused)
+{
+    organisations[0].request_rate = 3000;
+    offer_load(5s);
+    bool refused = false;
+    for (shed_key position = 0; position < 100; ++position)
+    {
+        const auto key =
+            static_cast<shed_key>(request_class::sheddable) * keys_per_class +
+            position * (keys_per_class / 100);
+        const bool now_refused =
+            target.check_request("main", costs, key, now, {"heavy", 400})
+                .has_value();
+        EXPECT_TRUE(now_refused || !refused) << position;
+        refused = now_refused;
+        EXPECT_FALSE(
+            target.check_request("main", costs, key, now, {"large", 400}));
+    }
+    EXPECT_TRUE(refused);
+}
+
+// A configuration may hold any finite rate.
+TEST_F(entry_admission_organisations, extreme_rates_leave_all_a_part)
+{
+    organisations = {{"huge", 1e300, 1150, {}},
+                     {"tiny", 1e-300, 1150, {}},
+                     {"usual", 100, 1150, {}}};
+    offer_load(5s);
+    offer_load(10s);
+    for (const auto& item : organisations)
+    {
+        EXPECT_GT(item.counts.share(), 0.1) << item.name;
+    }
+    EXPECT_LT(utilisation(10s), 1.05);
+}
+
 } // namespace
 } // namespace jujubespan::mesh
