Egress tests: name the key's header without the prefix of the node's own

Headers that begin with Jujubespan- never leave a node, so the tests did not show that the key and the organisation are removed.

--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -73,6 +73,15 @@
 class egress_test : public ::testing::Test
 {
 protected:
+    // Headers with the prefix of the default names never leave a node.
+    static header_names make_names()
+    {
+        header_names names;
+        names.key = "Key";
+        names.organisation = "Organisation";
+        return names;
+    }
+
     egress_test()
     {
         for (const auto* id : {"a", "b", "c"})
@@ -146,7 +155,7 @@
     recording_clients clients;
     recording_peers peers;
     instance_directory directory;
-    egress_options options{"own", "zone-a", {}};
+    egress_options options{"own", "zone-a", make_names()};
     egress target{options, shared, clients, peers, 1};
 };
 
@@ -565,9 +574,9 @@
 // The stripped request is the one that a retry sends.
 TEST_F(egress_organisations, key_and_forged_organisation_reach_no_attempt)
 {
-    send(1, {{"jujubespan-KEY", "key-of-small"},
+    send(1, {{"KEY", "key-of-small"},
              {options.names.organisation, "big"},
-             {"jujubespan-organisation", "big"}});
+             {"organisation", "big"}});
     reply(engine::make_refusal(reason::queue_full, true), false);
     reply(answered(500));
     ASSERT_EQ(peers.calls.size(), 3U);
