--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -73,6 +73,15 @@
 class egress_test : public ::testing::Test
 {
 protected:
+    // Headers with the prefix of the default names never leave a node.
+    static header_names make_names()
+    {
+        header_names names;
+        names.key = "Key";
+        names.organisation = "Organisation";
+        return names;
+    }
+
     egress_test()
     {
         for (const auto* id : {"a", "b", "c"})
@@ -146,7 +155,7 @@
     recording_clients clients;
     recording_peers peers;
     instance_directory directory;
-    egress_options options{"own", "zone-a", {}};
+    egress_options options{"own", "zone-a", make_names()};
     egress target{options, shared, clients, peers, 1};
 };
 
@@ -565,9 +574,9 @@
 // The stripped request is the one that a retry sends.
 TEST_F(egress_organisations, key_and_forged_organisation_reach_no_attempt)
 {
-    send(1, {{"jujubespan-KEY", "key-of-small"},
+    send(1, {{"KEY", "key-of-small"},
              {options.names.organisation, "big"},
-             {"jujubespan-organisation", "big"}});
+             {"organisation", "big"}});
     reply(engine::make_refusal(reason::queue_full, true), false);
     reply(answered(500));
     ASSERT_EQ(peers.calls.size(), 3U);
@@ -622,6 +631,37 @@
     EXPECT_EQ(peers.calls[0].organisation, "big");
 }
 
+// The organisation must be passed to the admission control.
+TEST_F(egress_organisations, heavy_organisation_is_refused_first)
+{
+    big.priority.reset(); // The same class as the other.
+    configure({big, small});
+    std::uint64_t exchange = 0;
+    std::map<std::string, int> refused;
+    for (const auto end = now + 10s; now < end; now += 10ms)
+    {
+        int admitted = 0;
+        for (const auto* sender : {"small", "big", "big", "big", "big", "big"})
+        {
+            send(++exchange, {key(std::string("key-of-") + sender)});
+            if (status(exchange) == 503U)
+            {
+                ++refused[sender];
+                continue;
+            }
+            ++admitted;
+            routed_reply message;
+            message.answer = answered(200);
+            message.costs = {{"s", 1, 0.1}};
+            target.on_reply(peers.calls.back().id, message, now);
+        }
+        shared.admission.on_pressure("s", admitted / 3.0, now); // room for 3
+        target.on_tick(now);
+    }
+    EXPECT_GT(refused["big"], 1000);
+    EXPECT_LT(refused["small"], 10); // of 1,000
+}
+
 // Without organisations the headers mean nothing, but still stay at the entry.
 TEST_F(egress_test, configuration_without_organisations_needs_no_key)
 {
