Refuse requests with keys while the configuration is old

Cause: with strict revocation, a node without contact to the store accepted revoked keys without limit. Change: the egress refuses requests that need a key with stale_configuration (503, Retry-After of 0.25 to 0.5 s) if the age of the configuration is unknown or above 0.7 of the bound, before it looks at the key. The start and the end are logged, the age is a gauge in /metrics. Shown: egress_test; requests on anonymous routes and calls of the own backend server continue, and without organisations nothing changes.

--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -4,6 +4,7 @@
 #include "jujubespan/mesh/balancer.hpp"
 #include "jujubespan/mesh/call.hpp"
 #include "jujubespan/mesh/configuration.hpp"
+#include "jujubespan/mesh/configuration_age.hpp"
 #include "jujubespan/mesh/entry_admission.hpp"
 #include "jujubespan/mesh/header_names.hpp"
 #include "jujubespan/mesh/instance_directory.hpp"
@@ -44,6 +45,9 @@
     std::string service; ///< Service of the own backend server.
     std::string failure_domain;
     header_names names;
+    /// Age of the configuration above which requests that need a key are
+    /// refused; empty: none.
+    std::optional<duration> max_configuration_age;
 };
 
 /// @brief Routes the requests of clients and of the own backend server to
@@ -80,6 +84,10 @@
     void apply(std::shared_ptr<const configuration> next);
     void apply(const instance_directory& list, time_point now);
 
+    /// @brief The configuration in force contains everything that its source
+    /// acknowledged before `as_of`.
+    void confirm_configuration(time_point as_of, time_point now);
+
     /// @brief Refuses new requests as not run; requests in flight continue.
     void stop_admitting() { stopped_admitting_ = true; }
 
@@ -87,6 +95,12 @@
     {
         return table_ ? table_->version() : 0;
     }
+    /// @return empty if the configuration was never confirmed.
+    [[nodiscard]] std::optional<duration>
+    configuration_age(time_point now) const
+    {
+        return age_.age(now);
+    }
     [[nodiscard]] std::size_t in_flight() const { return calls_.size(); }
 
 private:
@@ -120,8 +134,10 @@
 
     std::optional<engine::answer> prepare_call(const http_request& request,
                                                time_point now, open_call& call);
-    [[nodiscard]] std::optional<engine::answer>
-    identify_sender(const http_request& request, open_call& call) const;
+    std::optional<engine::answer> identify_sender(const http_request& request,
+                                                  time_point now,
+                                                  open_call& call);
+    bool is_configuration_stale(time_point now);
     void set_deadline(const http_request& request, time_point now,
                       open_call& call);
     bool send_attempt(open_call& call, time_point now);
@@ -160,6 +176,8 @@
     std::mt19937_64 random_;
     std::optional<route_table> table_;
     std::optional<organisation_table> organisations_;
+    mesh::configuration_age age_;
+    bool configuration_stale_{false}; ///< At the last check.
     string_map<balancer> balancers_;
     string_map<std::string> call_addresses_; // by instance id
     string_map<std::uint64_t> incarnations_; // by instance id
--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 
 namespace jujubespan::node
@@ -35,6 +36,8 @@
     std::size_t suspect_requests{0};
     std::size_t quarantined_requests{0};
     std::uint64_t configuration_version{0};
+    /// Empty if not known or if no request needs a key.
+    std::optional<duration> configuration_age;
     bool ready{false};
 };
 
@@ -59,6 +62,11 @@
 
     void apply_configuration(std::shared_ptr<const mesh::configuration> next);
     void apply_instances(std::shared_ptr<const mesh::instance_directory> list);
+    /// @brief Confirms the configuration that was applied last.
+    void confirm_configuration(time_point as_of)
+    {
+        egress_.confirm_configuration(as_of, boot_clock::now());
+    }
     /// @brief Sets the receiver of discovery updates; null: none.
     void set_update_handler(mesh::discovery_update_handler* handler)
     {
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -35,6 +35,9 @@
 constexpr duration dependency_lifetime = std::chrono::seconds(10);
 
 constexpr std::size_t max_key_bytes = 256;
+// Readers of the discovery source renew the age about twice per second.
+constexpr duration stale_configuration_retry_delay =
+    std::chrono::milliseconds(250);
 
 // Value of the only header with a name; empty when there is none or several.
 std::string_view find_only_header(std::span<const http_header> headers,
@@ -232,7 +235,7 @@
             parent->is_retry ? retry_cause::caller : retry_cause::none;
         return std::nullopt;
     }
-    if (auto refused = identify_sender(request, call))
+    if (auto refused = identify_sender(request, now, call))
     {
         return refused;
     }
@@ -261,13 +264,49 @@
     return engine::make_refusal(reason::downstream_overload);
 }
 
+void egress::confirm_configuration(time_point as_of, time_point now)
+{
+    age_.on_confirmed(as_of);
+    is_configuration_stale(now);
+}
+
+// Also called without a request, to log the time of a change.
+bool egress::is_configuration_stale(time_point now)
+{
+    if (!options_.max_configuration_age || !organisations_ ||
+        !organisations_->keys_required())
+    {
+        return false;
+    }
+    const auto age = age_.age(now);
+    const bool stale = !age || *age > *options_.max_configuration_age;
+    if (stale != configuration_stale_)
+    {
+        configuration_stale_ = stale;
+        log(stale ? log_level::warn : log_level::info,
+            stale ? "configuration_age_exceeded" : "configuration_age_restored",
+            "age_ms={} limit_ms={} version={}",
+            age ? std::to_string(milliseconds(*age)) : "unknown",
+            milliseconds(*options_.max_configuration_age),
+            configuration_version());
+    }
+    return stale;
+}
+
 std::optional<answer> egress::identify_sender(const http_request& request,
-                                              open_call& call) const
+                                              time_point now, open_call& call)
 {
     if (!organisations_->keys_required() || call.matched_route->anonymous)
     {
         return std::nullopt;
     }
+    // Before the key: an old configuration can neither accept nor reject it.
+    if (is_configuration_stale(now))
+    {
+        auto refusal = engine::make_refusal(reason::stale_configuration);
+        refusal.retry_after = stale_configuration_retry_delay;
+        return refusal;
+    }
     const auto key = find_only_header(request.headers, options_.names.key);
     call.sender =
         key.size() > max_key_bytes ? nullptr : organisations_->find_by_key(key);
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -97,6 +97,19 @@
         target.apply(directory, now);
     }
 
+    // Requests to /read/ need a key, those to /pay/ do not.
+    void configure_keys()
+    {
+        auto next = std::make_shared<configuration>();
+        next->routes = {make_route("read", "/read/", true),
+                        make_route("pay", "/pay/", false)};
+        next->routes[1].anonymous = true;
+        next->organisations.emplace().push_back(
+            {"o", {"key"}, std::nullopt, {}});
+        target.apply(std::move(next));
+        target.apply(directory, now);
+    }
+
     void request(std::uint64_t exchange, const std::string& path,
                  const std::string& id = "id-1",
                  const std::string& deadline = "5000")
@@ -106,7 +119,8 @@
         message.target = path;
         message.headers = {{"Host", "shop.example"},
                            {options.names.request_id, id},
-                           {options.names.deadline, deadline}};
+                           {options.names.deadline, deadline},
+                           {options.names.key, "key"}};
         target.on_request(exchange, std::move(message), now);
     }
 
@@ -146,7 +160,7 @@
     recording_clients clients;
     recording_peers peers;
     instance_directory directory;
-    egress_options options{"own", "zone-a", {}};
+    egress_options options{"own", "zone-a", {}, 3500ms};
     egress target{options, shared, clients, peers, 1};
 };
 
@@ -158,6 +172,40 @@
         find_header(clients.responses[1].headers, "Retry-After").empty());
 }
 
+// A node that is paused or cut off from the source may hold revoked keys.
+TEST_F(egress_test, keys_are_refused_while_the_configuration_is_old)
+{
+    configure_keys();
+    request(1, "/read/1");
+    EXPECT_EQ(status(1), 503U) << "never confirmed";
+    target.confirm_configuration(now, now);
+    now += 3500ms;
+    request(2, "/read/1");
+    EXPECT_EQ(peers.calls.size(), 1U);
+    now += 1ms;
+    request(3, "/read/1");
+    EXPECT_EQ(status(3), 503U);
+    const auto& headers = clients.responses[3].headers;
+    EXPECT_EQ(find_header(headers, "Jujubespan-Reason"), "stale-configuration");
+    EXPECT_LE(std::stod(std::string(find_header(headers, "Retry-After"))), 0.5);
+    shared.running.add("parent", {});
+    request(4, "/pay/1");
+    request(5, "/read/1", "parent.1");
+    EXPECT_EQ(peers.calls.size(), 3U) << "anonymous, and of the own server";
+    target.confirm_configuration(now - 3s, now);
+    target.confirm_configuration(now - 5s, now);
+    request(6, "/read/1");
+    EXPECT_EQ(peers.calls.size(), 4U);
+}
+
+// Without organisations, the age has no effect.
+TEST_F(egress_test, age_has_no_effect_without_organisations)
+{
+    configure();
+    request(1, "/read/1");
+    EXPECT_EQ(peers.calls.size(), 1U);
+}
+
 TEST_F(egress_test, unknown_route_is_rejected_as_not_found)
 {
     configure();
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -44,6 +44,11 @@
 // exits.
 constexpr duration drain_quiet_time = std::chrono::milliseconds(100);
 
+// Age of the configuration, as a share of the revocation bound, above which
+// requests with keys are refused. The rest of the bound covers errors of the
+// estimated age.
+constexpr double max_age_share = 0.7;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
@@ -85,7 +90,14 @@
 mesh::egress_options make_egress_options(const config::mesh_settings& options,
                                          const mesh::header_names& names)
 {
-    return {options.service, options.failure_domain, names};
+    std::optional<duration> max_configuration_age;
+    if (options.revocation.strict)
+    {
+        max_configuration_age =
+            from_seconds(seconds(options.revocation.bound) * max_age_share);
+    }
+    return {options.service, options.failure_domain, names,
+            max_configuration_age};
 }
 
 mesh::guard_options make_guard_options(const config::mesh_settings& options,
@@ -280,6 +292,11 @@
     report.suspect_requests = shared_.suspects.size();
     report.quarantined_requests = shared_.suspects.quarantined_count();
     report.configuration_version = egress_.configuration_version();
+    // Without organisations, other nodes do not send it.
+    if (configuration_ && configuration_->organisations)
+    {
+        report.configuration_age = egress_.configuration_age(boot_clock::now());
+    }
     report.ready = is_ready();
     return report;
 }
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -154,6 +154,15 @@
               static_cast<double>(traffic.guard_body_bytes));
     add_gauge(out, "jujubespan_configuration_version", "Version in force.",
               static_cast<double>(traffic.configuration_version));
+    if (traffic.configuration_age)
+    {
+        add_gauge(
+            out, "jujubespan_configuration_age_seconds",
+            "Time for which the configuration in force has not been shown "
+            "to be the latest; absent if it never was, and without "
+            "organisations.",
+            seconds(*traffic.configuration_age));
+    }
     add_gauge(out, "jujubespan_configuration_defects",
               "Unreadable entries and fields of the configuration in force.",
               static_cast<double>(control.configuration_defects));
