Carry the age of the configuration from the store to the entry

Cause: no node knew as of which time its configuration was complete. The time of the last answer does not tell: the store holds a call for up to two seconds, and answers and updates may wait in sockets. The root states the age, relays add their holding time and the transit time; the boot clock of the sender goes along (sent_at_us, confirmed_age_ms), only if the configuration names organisations. A node confirms its age on the traffic thread after the changes, not for gaps, earlier eras or a configuration that it could not read. With strict revocation, a node whose confirmation is older than 0.4 of the bound reads for itself, and waits of calls are shortened so that it stays below that. The contact time, which decides who reads otherwise, is unchanged.

--- a/include/jujubespan/mesh/discovery.hpp
+++ b/include/jujubespan/mesh/discovery.hpp
@@ -5,6 +5,7 @@
 #include "jujubespan/mesh/configuration.hpp"
 #include "jujubespan/policy/history_revision.hpp"
 #include "jujubespan/policy/instance.hpp"
+#include "jujubespan/policy/time.hpp"
 #include "jujubespan/policy/versioned_map.hpp"
 
 #include <absl/status/status.h>
@@ -43,7 +44,9 @@
     /// @brief The source answered. Called after the handlers of the changes.
     /// @param changes all changes between two revisions, in the encoding of the
     /// source; other nodes pass them to `discovery::apply`.
-    virtual void on_read(const versioned_delta& changes) = 0;
+    /// @param as_of time at which the answered call was sent: every change that
+    /// the source acknowledged before is contained in the revision read.
+    virtual void on_read(const versioned_delta& changes, time_point as_of) = 0;
 };
 
 /// @brief Delays between the calls to a discovery source.
@@ -85,6 +88,11 @@
     /// @brief Latest revision that was read.
     [[nodiscard]] virtual history_revision revision() const = 0;
 
+    /// @brief Whether the latest configuration up to `revision` could be read
+    /// and was passed to the handler, and the source has not been restored from
+    /// a copy since.
+    [[nodiscard]] virtual bool has_latest_configuration() const = 0;
+
     /// @brief Highest revision of a change that was applied.
     [[nodiscard]] virtual history_revision applied_revision() const = 0;
 };
--- a/include/jujubespan/mesh/discovery_sharing.hpp
+++ b/include/jujubespan/mesh/discovery_sharing.hpp
@@ -22,6 +22,11 @@
 {
     versioned_delta changes;
     duration age{}; ///< Time since the source last answered the sender.
+    /// Every change that the source acknowledged before this time, in the clock
+    /// of this node, is contained in the revision of the update. Absent if not
+    /// known. Older than `age`, which does not count the time that the source
+    /// held the call.
+    std::optional<time_point> confirmed_at;
 };
 
 /// @brief Receives what other nodes report about the discovery source.
@@ -83,6 +88,25 @@
     /// @param age of the update.
     void on_update(std::uint64_t revision, duration age, time_point now);
 
+    /// @brief This node has applied all changes up to a revision that contains
+    /// every change that the source acknowledged before `as_of`. Does not
+    /// count as contact with the source.
+    void on_confirmed(std::uint64_t revision, time_point as_of);
+
+    /// @brief Sets the age of the last confirmation above which this node
+    /// reads for itself, for instance because the senders of its updates are
+    /// of an earlier version and confirm nothing. Empty: no limit.
+    void set_max_confirmed_age(std::optional<duration> limit)
+    {
+        max_confirmed_age_ = limit;
+    }
+
+    /// @brief Time that the source may hold a call, or that this node may wait
+    /// before its next call, without the confirmation growing older than the
+    /// limit; at least 100 ms.
+    /// @param usual the longest time without a limit.
+    [[nodiscard]] duration limit_wait(duration usual, time_point now) const;
+
     /// @brief Another node's update could not be applied, since changes before
     /// it are missing.
     void on_gap();
@@ -141,6 +165,7 @@
 private:
     [[nodiscard]] duration max_update_age() const;
     [[nodiscard]] bool updates_arrive(time_point now) const;
+    [[nodiscard]] bool lacks_confirmation(time_point now) const;
     [[nodiscard]] bool misses_change(std::uint64_t revision, time_point now);
     void record_contact(time_point at);
 
@@ -157,7 +182,9 @@
     std::optional<time_point> update_contact_;
     std::optional<time_point> last_contact_;
     time_point next_heartbeat_{};
-    std::uint64_t confirmed_revision_{0}; ///< Of the last own read.
+    std::uint64_t confirmed_revision_{0}; ///< Highest one read or confirmed.
+    std::optional<time_point> confirmed_at_;
+    std::optional<duration> max_confirmed_age_;
     std::uint64_t seen_revision_{0};
     /// The oldest seen revision that is not applied yet, and since when.
     std::uint64_t missing_revision_{0};
--- a/include/jujubespan/node/mesh_control.hpp
+++ b/include/jujubespan/node/mesh_control.hpp
@@ -48,7 +48,7 @@
     void on_interrupted(const absl::Status& error) override;
     void on_restored() override;
     void on_history_replaced() override;
-    void on_read(const versioned_delta& changes) override;
+    void on_read(const versioned_delta& changes, time_point as_of) override;
 
     // Called on the traffic thread.
     void on_update(std::string_view peer,
@@ -60,7 +60,8 @@
 
     void apply_update(const std::string& peer,
                       const mesh::discovery_update& update);
-    void forward(const mesh::discovery_update& update);
+    void confirm(std::uint64_t revision, time_point as_of);
+    void forward(mesh::discovery_update update);
     void update_reading();
     void schedule_publish();
     void on_tick();
@@ -80,6 +81,7 @@
     std::uint64_t announced_revision_{0};
     std::uint64_t configuration_version_{0};
     std::size_t configuration_defects_{0};
+    bool keys_required_{false}; ///< By the configuration in force.
     bool discovery_complete_{false};
     bool discovery_interrupted_{false};
     bool publish_scheduled_{false};
--- a/include/jujubespan/peer/codec.hpp
+++ b/include/jujubespan/peer/codec.hpp
@@ -48,11 +48,26 @@
 void encode(topic topic_id, const versioned_delta& delta, v1::Delta& out);
 versioned_delta decode(const v1::Delta& in);
 
-void encode(const mesh::discovery_update& update, v1::Delta& out);
+/// @brief Encodes an update. The confirmation is sent as its age and the time
+/// of sending, since nodes do not share a clock.
+void encode(const mesh::discovery_update& update, time_point now,
+            v1::Delta& out);
 
+/// @brief Decodes an update without its confirmation.
 /// @return empty if the delta is not a discovery update or is inconsistent.
 std::optional<mesh::discovery_update> decode_discovery(const v1::Delta& in);
 
+/// @brief What the sender of an update states about its configuration.
+struct sent_confirmation
+{
+    duration sent_at{}; ///< Boot clock of the sender.
+    duration age{};     ///< At that time.
+};
+
+/// @return empty if the sender states nothing, as in earlier versions, or a
+/// value is out of range.
+std::optional<sent_confirmation> decode_confirmation(const v1::Delta& in);
+
 void encode(const mesh::suspicion_report& report, v1::SuspicionReport& out);
 
 /// @return empty if a list is too long.
--- a/include/jujubespan/peer/routed_transport.hpp
+++ b/include/jujubespan/peer/routed_transport.hpp
@@ -5,6 +5,7 @@
 #include "jujubespan/mesh/egress.hpp"
 #include "jujubespan/mesh/guard.hpp"
 #include "jujubespan/mesh/quarantine_exchange.hpp"
+#include "jujubespan/mesh/transit_time.hpp"
 #include "jujubespan/peer/inbound_calls.hpp"
 #include "jujubespan/peer/messenger.hpp"
 
@@ -97,6 +98,7 @@
                            const v1::Envelope& message) override;
     void on_call(const v1::Envelope& message, const routing_id& reply_to);
     void call_self(const mesh::routed_call& call);
+    void on_discovery_update(const v1::Envelope& message, time_point now);
     void on_suspicion(const v1::Envelope& message, time_point now);
     void compare_quarantine(const v1::Envelope& message, time_point now);
     void update_quarantine_digest(time_point now);
@@ -112,6 +114,7 @@
     time_point next_connection_check_{};
     string_map<time_point> last_listed_; // by address
     mesh::quarantine_exchange quarantine_exchange_;
+    mesh::transit_time transit_time_; // of discovery updates
     QObject context_object_; // Its destruction discards queued invocations.
 };
 
--- a/src/jujubespan/mesh/discovery_sharing.cpp
+++ b/src/jujubespan/mesh/discovery_sharing.cpp
@@ -24,6 +24,12 @@
 // Time allowed for a change that another node has applied to arrive here.
 // Readers read changes in batches, at different times.
 constexpr duration missing_change_delay = std::chrono::milliseconds(900);
+// Relays read before the others when confirmations are missing, so that their
+// subscribers need not.
+constexpr double standby_confirmation_factor = 1.05;
+constexpr double subscriber_confirmation_factor = 1.1;
+// Bounds the calls to a source whose answers confirm nothing.
+constexpr duration min_limited_wait = std::chrono::milliseconds(100);
 // Larger changes would occupy the link of the reader for too long when they are
 // sent to all nodes of a failure domain.
 constexpr std::size_t max_forwarded_bytes = 64U << 10U;
@@ -187,6 +193,23 @@
     record_contact(contact);
 }
 
+void discovery_sharing::on_confirmed(std::uint64_t revision, time_point as_of)
+{
+    confirmed_revision_ = std::max(confirmed_revision_, revision);
+    confirmed_at_ = std::max(confirmed_at_.value_or(as_of), as_of);
+}
+
+duration discovery_sharing::limit_wait(duration usual, time_point now) const
+{
+    if (!max_confirmed_age_)
+    {
+        return usual;
+    }
+    const auto left =
+        confirmed_at_ ? *confirmed_at_ + *max_confirmed_age_ - now : duration{};
+    return std::clamp(left, std::min(min_limited_wait, usual), usual);
+}
+
 void discovery_sharing::on_gap()
 {
     must_read_ = true;
@@ -210,6 +233,20 @@
     return update_contact_ && now - *update_contact_ <= max_update_age();
 }
 
+bool discovery_sharing::lacks_confirmation(time_point now) const
+{
+    if (!max_confirmed_age_)
+    {
+        return false;
+    }
+    const double factor = role_ == reader_role::relay ? 1
+                          : role_ == reader_role::standby
+                              ? standby_confirmation_factor
+                              : subscriber_confirmation_factor;
+    return !confirmed_at_ || seconds(now - *confirmed_at_) >
+                                 seconds(*max_confirmed_age_) * factor;
+}
+
 // Waits for one missing revision at a time. In a series of changes there is
 // always one that has not arrived yet.
 bool discovery_sharing::misses_change(std::uint64_t revision, time_point now)
@@ -231,7 +268,7 @@
 {
     const bool missed = misses_change(revision, now);
     reading_ = role_ == reader_role::root || interrupted_ || must_read_ ||
-               missed || !updates_arrive(now);
+               missed || !updates_arrive(now) || lacks_confirmation(now);
     return reading_;
 }
 
@@ -266,7 +303,8 @@
         changes.entries.clear();
     }
     return {std::move(changes),
-            last_own_read_ ? now - *last_own_read_ : duration::zero()};
+            last_own_read_ ? now - *last_own_read_ : duration::zero(),
+            confirmed_at_};
 }
 
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/discovery_sharing_test.cpp
+++ b/src/jujubespan/mesh/discovery_sharing_test.cpp
@@ -1,13 +1,16 @@
 // Which nodes of a fleet read the discovery source, and how soon each of them
 // knows a change, when readers stop, are cut off or hold an older list.
 
+#include "jujubespan/mesh/configuration_age.hpp"
 #include "jujubespan/mesh/discovery_sharing.hpp"
+#include "jujubespan/mesh/transit_time.hpp"
 
 #include <fmt/format.h>
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 
@@ -22,6 +25,9 @@
 constexpr duration batch_delay = 600ms; // between two reads of a node
 constexpr duration watch_wait = 500ms;  // longest wait of a read for a change
 constexpr duration read_timeout = 1200ms;
+// Of the configuration, above which requests with keys are refused.
+constexpr duration max_age = 3500ms;
+constexpr duration clock_difference = 700s; // between sender and receiver
 
 std::string backend_address(int number)
 {
@@ -40,10 +46,18 @@
 }
 
 // Nodes that read a source with one revision counter and forward updates. Calls
-// and messages take no time.
+// take no time, and messages none unless a delay is set.
 class simulated_fleet
 {
 public:
+    struct message
+    {
+        time_point arrives{};
+        std::string from;
+        time_point sent_at{};
+        discovery_update update;
+    };
+
     struct node
     {
         instance self;
@@ -56,6 +70,14 @@
         bool source_silent{false}; ///< Reads get no answer and no error.
         bool peers_reachable{true};
         int calls{0};
+
+        transit_time transit{};
+        configuration_age age{};
+        std::deque<message> inbox{};
+        time_point paused_until{};
+        /// Revision in an answer that arrived at the beginning of a pause.
+        std::optional<std::uint64_t> waiting_answer{};
+        bool earlier_version{false}; ///< States no confirmations.
     };
 
     simulated_fleet(int node_count, int domains)
@@ -129,10 +151,39 @@
     std::uint64_t source_revision{1};
     time_point now{1000s};
     bool calls_between_nodes{true};
+    duration link_delay{};
+    time_point links_cut_until{}; ///< Messages of a cut arrive at its end.
+
+    // The revision that revokes a key, and the results of requests with it that
+    // clients send to each node all the time.
+    std::uint64_t revoking_revision{1'000'000};
+    time_point revoked_at{};
+    int late_runs{0}; ///< Later than five seconds after the revocation.
+    int stale_refusals{0};
+    duration oldest{}; ///< Age at a request.
 
 private:
+    // Before messages are read: the worst order after a pause.
+    void handle_request(node& n)
+    {
+        const auto age = n.age.age(now);
+        const bool stale = !age || *age > max_age;
+        stale_refusals += stale ? 1 : 0;
+        oldest = std::max(oldest, age.value_or(0s));
+        const bool runs = !stale && n.revision < revoking_revision;
+        const bool late =
+            source_revision >= revoking_revision && now - revoked_at > 5s;
+        late_runs += runs && late ? 1 : 0;
+    }
+
     void step(node& n)
     {
+        if (now < n.paused_until)
+        {
+            return;
+        }
+        handle_request(n);
+        receive(n);
         if (n.sharing->should_read(n.revision, now) && now >= n.next_read)
         {
             read(n);
@@ -163,16 +214,19 @@
         }
         const bool changed = source_revision > n.revision;
         n.read_since = n.read_since == time_point{} ? now : n.read_since;
-        if (!changed && now - n.read_since < watch_wait)
+        if (!changed && !n.waiting_answer && now - n.read_since < watch_wait)
         {
             return; // The source holds the read until there is a change.
         }
-        n.read_since = {};
+        const auto sent_at = std::exchange(n.read_since, time_point{});
         n.next_read = changed ? now + batch_delay : now;
         ++n.calls;
-        const versioned_delta changes{n.revision, source_revision, false, {}};
-        n.revision = source_revision;
+        const auto answered = std::exchange(n.waiting_answer, std::nullopt);
+        const versioned_delta changes{
+            n.revision, answered.value_or(source_revision), false, {}};
+        n.revision = std::max(n.revision, changes.revision);
         n.sharing->on_own_read(n.revision, now);
+        confirm(n, n.revision, sent_at);
         if (n.sharing->should_forward(now))
         {
             send(n, n.sharing->make_update(changes, now));
@@ -190,20 +244,64 @@
             {
                 continue;
             }
-            if (update.changes.after > to.revision)
+            to.inbox.push_back({std::max(now + link_delay, links_cut_until),
+                                from.self.call_address, now, update});
+            if (from.earlier_version)
             {
-                to.sharing->on_gap();
-                continue;
+                to.inbox.back().update.confirmed_at.reset();
             }
-            to.revision = std::max(to.revision, update.changes.revision);
-            to.sharing->on_update(to.revision, update.age, now);
-            if (to.sharing->forwards_updates())
+            if (now >= to.paused_until)
             {
-                send(to, update);
+                receive(to);
             }
         }
     }
 
+    void receive(node& n)
+    {
+        while (!n.inbox.empty() && n.inbox.front().arrives <= now)
+        {
+            auto received = std::move(n.inbox.front());
+            n.inbox.pop_front();
+            handle_update(n, received, received.update);
+        }
+    }
+
+    void handle_update(node& to, const message& received,
+                       discovery_update& update)
+    {
+        if (update.confirmed_at)
+        {
+            const auto age = received.sent_at - *update.confirmed_at;
+            const auto transit = to.transit.on_message(
+                received.from, 1,
+                received.sent_at.time_since_epoch() - clock_difference, now);
+            update.confirmed_at =
+                transit ? std::optional(now - *transit - age) : std::nullopt;
+        }
+        if (update.changes.after > to.revision)
+        {
+            to.sharing->on_gap();
+            return;
+        }
+        to.revision = std::max(to.revision, update.changes.revision);
+        to.sharing->on_update(to.revision, update.age, now);
+        if (update.confirmed_at)
+        {
+            confirm(to, update.changes.revision, *update.confirmed_at);
+        }
+        if (to.sharing->forwards_updates())
+        {
+            send(to, update);
+        }
+    }
+
+    static void confirm(node& n, std::uint64_t revision, time_point as_of)
+    {
+        n.sharing->on_confirmed(revision, as_of);
+        n.age.on_confirmed(as_of);
+    }
+
     // Every node calls nodes of all domains: each learns the highest revision.
     void exchange_calls()
     {
@@ -379,6 +477,118 @@
     expect_change_in_time();
 }
 
+// With strict revocation. No request that a client sends later than the bound
+// after the revocation of its key may run.
+class strict_fleet : public ::testing::Test
+{
+protected:
+    strict_fleet()
+    {
+        for (auto& n : fleet.nodes)
+        {
+            n.sharing->set_max_confirmed_age(2s);
+        }
+        fleet.link_delay = 100ms;
+        fleet.run_for(5s);
+        fleet.oldest = 0s;
+        fleet.stale_refusals = 0;
+    }
+
+    void revoke()
+    {
+        fleet.revoking_revision = ++fleet.source_revision;
+        fleet.revoked_at = fleet.now;
+    }
+
+    void silence(std::initializer_list<reader_role> roles)
+    {
+        for (auto& n : fleet.nodes)
+        {
+            n.source_silent = std::find(roles.begin(), roles.end(),
+                                        n.sharing->role()) != roles.end();
+        }
+    }
+
+    // Revokes the key a second from now, and expects whether nodes refuse
+    // requests because of the age of their configuration.
+    void expect_no_late_run(bool refusals)
+    {
+        fleet.run_for(1s);
+        revoke();
+        fleet.run_for(10s);
+        EXPECT_EQ(fleet.late_runs, 0);
+        EXPECT_EQ(fleet.stale_refusals > 0, refusals) << fleet.oldest / 1ms;
+    }
+
+    simulated_fleet fleet{30, 3};
+};
+
+// With an age that ordinary operation exceeds, requests with valid keys would
+// be refused; with a lower limit for reads, all nodes would read.
+TEST_F(strict_fleet, age_stays_low_in_ordinary_operation)
+{
+    const int before = fleet.total_calls();
+    expect_no_late_run(false);
+    EXPECT_LT(fleet.oldest, 1600ms);
+    EXPECT_LE(fleet.total_calls() - before, 11 * 2);
+}
+
+// Requests, and an answer that does not contain the revocation, wait in the
+// sockets of a paused node.
+TEST_F(strict_fleet, revoked_while_waiting)
+{
+    fleet.run_for(100ms);
+    int answers = 0;
+    for (auto& n : fleet.nodes)
+    {
+        n.paused_until = fleet.now + 8s;
+        if (n.read_since != time_point{})
+        {
+            n.waiting_answer = fleet.source_revision;
+            ++answers;
+        }
+    }
+    EXPECT_GT(answers, 0);
+    expect_no_late_run(true);
+    fleet.stale_refusals = 0;
+    fleet.run_for(2s);
+    EXPECT_EQ(fleet.stale_refusals, 0);
+}
+
+TEST_F(strict_fleet, message_delivered_late_is_not_taken_as_recent)
+{
+    silence(
+        {reader_role::relay, reader_role::standby, reader_role::subscriber});
+    fleet.links_cut_until = fleet.now + 6500ms;
+    expect_no_late_run(true);
+    fleet.stale_refusals = 0;
+    fleet.run_for(2s);
+    EXPECT_EQ(fleet.stale_refusals, 0) << "the updates of the root arrive";
+}
+
+TEST_F(strict_fleet, readers_that_the_source_no_longer_answers_are_replaced)
+{
+    silence({reader_role::root, reader_role::relay});
+    expect_no_late_run(false);
+}
+
+TEST_F(strict_fleet, nodes_that_the_source_no_longer_answers_refuse)
+{
+    silence({reader_role::root, reader_role::relay, reader_role::standby,
+             reader_role::subscriber});
+    expect_no_late_run(true);
+}
+
+// During an upgrade, the senders of updates may not state their age.
+TEST_F(strict_fleet, updates_of_an_earlier_version_do_not_replace_reads)
+{
+    for (auto& n : fleet.nodes)
+    {
+        n.earlier_version = true;
+    }
+    expect_no_late_run(false);
+}
+
 class single_node : public ::testing::Test
 {
 protected:
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -37,6 +37,16 @@
 // source does not answer them, since their subscribers rely on them.
 constexpr duration subscriber_watch_wait = std::chrono::milliseconds(2000);
 constexpr duration reader_watch_wait = std::chrono::milliseconds(500);
+// With strict revocation, the age of the configuration, as a share of the
+// revocation bound, above which a node reads the source for itself. Calls that
+// would exceed it are held for 0.1 s only, so that the age stays below this
+// share, plus 0.1 s and the time that the source takes to answer; requests with
+// keys are refused above 0.7. With the bound of 5 s, this is 2 s. Ordinary ages
+// are lower: the root reads every 0.5 s, or 0.6 s after changes, and its next
+// answer arrives when the time of the previous call is 1.1 s ago at most. An
+// update that is lost is repeated by the next heartbeat, 0.4 s later: 1.5 s,
+// plus the transit through root and relay.
+constexpr double max_confirmed_age_share = 0.4;
 // Further defects of a configuration are only counted.
 constexpr std::size_t max_logged_defects = 16;
 constexpr unsigned status_ok = 200;
@@ -62,6 +72,8 @@
            current.backend_address != candidate.backend_address ||
            current.protection != candidate.protection ||
            current.queue_wait != candidate.queue_wait ||
+           current.revocation.strict != candidate.revocation.strict ||
+           current.revocation.bound != candidate.revocation.bound ||
            current.stop_grace != candidate.stop_grace ||
            current.max_buffered_bytes != candidate.max_buffered_bytes ||
            current.max_connections != candidate.max_connections;
@@ -123,6 +135,12 @@
     }
     configuration_version_ = next->version;
     configuration_defects_ = next->defects.size();
+    keys_required_ = next->organisations.has_value();
+    sharing_.set_max_confirmed_age(
+        options_.revocation.strict && keys_required_
+            ? std::optional(from_seconds(seconds(options_.revocation.bound) *
+                                         max_confirmed_age_share))
+            : std::nullopt);
     traffic_.post_task([this, next] { traffic_.apply_configuration(next); });
 }
 
@@ -185,10 +203,11 @@
     directory_.on_history_replaced(boot_clock::now());
 }
 
-void mesh_control::on_read(const versioned_delta& changes)
+void mesh_control::on_read(const versioned_delta& changes, time_point as_of)
 {
     const auto now = boot_clock::now();
     sharing_.on_own_read(changes.revision, now);
+    confirm(changes.revision, as_of);
     // Before the decision to stop reading: the subscribers miss the changes
     // too.
     if (sharing_.should_forward(now))
@@ -198,6 +217,18 @@
     update_reading();
 }
 
+// The changes up to the revision were passed to the traffic thread before, and
+// its tasks run in order.
+void mesh_control::confirm(std::uint64_t revision, time_point as_of)
+{
+    sharing_.on_confirmed(revision, as_of);
+    if (source_->has_latest_configuration())
+    {
+        traffic_.post_task([this, as_of]
+                           { traffic_.confirm_configuration(as_of); });
+    }
+}
+
 void mesh_control::on_update(std::string_view peer,
                              const mesh::discovery_update& update)
 {
@@ -251,6 +282,10 @@
     {
         sharing_.on_update(update.changes.revision, update.age,
                            boot_clock::now());
+        if (update.confirmed_at)
+        {
+            confirm(update.changes.revision, *update.confirmed_at);
+        }
         if (sharing_.forwards_updates())
         {
             forward(update);
@@ -259,12 +294,16 @@
     update_reading();
 }
 
-void mesh_control::forward(const mesh::discovery_update& update)
+void mesh_control::forward(mesh::discovery_update update)
 {
     if (sharing_.subscribers().empty())
     {
         return;
     }
+    if (!keys_required_)
+    {
+        update.confirmed_at.reset();
+    }
     const auto peers = std::vector<std::string>(sharing_.subscribers().begin(),
                                                 sharing_.subscribers().end());
     traffic_.post_task([this, peers, update]
@@ -291,8 +330,10 @@
     const bool is_subscriber = reader_role_ == mesh::reader_role::subscriber;
     source_->set_pace(
         {is_subscriber ? subscriber_retry_delay : reader_retry_delay,
-         sharing_.listed() ? batch_delay : unlisted_batch_delay,
-         is_subscriber ? subscriber_watch_wait : reader_watch_wait});
+         sharing_.limit_wait(
+             sharing_.listed() ? batch_delay : unlisted_batch_delay, now),
+         sharing_.limit_wait(
+             is_subscriber ? subscriber_watch_wait : reader_watch_wait, now)});
     source_->set_reading(reading);
     if (announced_revision_ != source_->applied_revision())
     {
--- a/src/jujubespan/node/mesh_loop_test.cpp
+++ b/src/jujubespan/node/mesh_loop_test.cpp
@@ -238,6 +238,7 @@
     {
         sender = peer;
         last = update;
+        confirmed = update.confirmed_at.has_value();
         ++update_count;
     }
     void on_revision_seen(std::uint64_t seen) override { revision = seen; }
@@ -245,6 +246,7 @@
     std::string sender;
     mesh::discovery_update last;
     std::atomic<int> update_count{0};
+    std::atomic<bool> confirmed{false};
     std::atomic<std::uint64_t> revision{0};
 };
 
@@ -257,6 +259,8 @@
     update.changes = {
         5, 7, false, {{"a", 6, "value", false, 3}, {"b", 7, "", true, 0}}};
     update.age = std::chrono::milliseconds(250);
+    const auto confirmed_at = boot_clock::now() - std::chrono::seconds(2);
+    update.confirmed_at = confirmed_at;
     auto& caller = caller_node.loop();
     caller.run_and_wait(
         [&]
@@ -266,7 +270,23 @@
             caller.send_update(peers, update);
         });
     EXPECT_TRUE(wait_for([&] { return received.update_count == 1; }));
+    EXPECT_FALSE(received.last.confirmed_at) << "the transit time is not known";
+    EXPECT_TRUE(wait_for(
+        [&]
+        {
+            caller.run_and_wait(
+                [&]
+                {
+                    caller.send_update(std::vector{config::to_string(
+                                           callee_settings.call_address)},
+                                       update);
+                });
+            return received.confirmed.load();
+        }));
     callee.run_and_wait([&] { callee.set_update_handler(nullptr); });
+    EXPECT_LE(*received.last.confirmed_at, confirmed_at);
+    EXPECT_GT(*received.last.confirmed_at,
+              confirmed_at - std::chrono::milliseconds(500));
     EXPECT_EQ(received.sender, config::to_string(caller_settings.call_address));
     EXPECT_EQ(received.last.changes.after, 5U);
     EXPECT_EQ(received.last.changes.revision, 7U);
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -16,6 +16,9 @@
 constexpr unsigned min_status = 100;
 constexpr unsigned max_status = 999;
 constexpr int max_suspicion_entries = 16'384; // of each list
+constexpr long long max_confirmed_age_ms = 3'600'000;
+// Thirty years since the start of a host; larger values could overflow.
+constexpr std::uint64_t max_clock_us = 1'000'000'000'000'000;
 
 std::uint32_t age_ms(duration age)
 {
@@ -373,10 +376,23 @@
     return delta;
 }
 
-void encode(const mesh::discovery_update& update, v1::Delta& out)
+void encode(const mesh::discovery_update& update, time_point now,
+            v1::Delta& out)
 {
     out.set_topic(v1::TOPIC_DISCOVERY);
     out.set_age_ms(static_cast<std::uint32_t>(milliseconds(update.age)));
+    if (update.confirmed_at)
+    {
+        // Rounded so that the configuration never appears more recent.
+        out.set_sent_at_us(static_cast<std::uint64_t>(
+            std::chrono::floor<std::chrono::microseconds>(
+                now.time_since_epoch())
+                .count()));
+        const auto age = std::chrono::ceil<std::chrono::milliseconds>(
+            std::max(now - *update.confirmed_at, duration::zero()));
+        out.set_confirmed_age_ms(static_cast<std::uint32_t>(
+            std::min<long long>(age.count(), max_confirmed_age_ms)));
+    }
     encode_changes(update.changes, out);
 }
 
@@ -387,8 +403,19 @@
     {
         return std::nullopt;
     }
-    return mesh::discovery_update{decode(in),
-                                  std::chrono::milliseconds(in.age_ms())};
+    return mesh::discovery_update{
+        decode(in), std::chrono::milliseconds(in.age_ms()), std::nullopt};
+}
+
+std::optional<sent_confirmation> decode_confirmation(const v1::Delta& in)
+{
+    if (!in.has_confirmed_age_ms() || in.sent_at_us() == 0 ||
+        in.sent_at_us() > max_clock_us)
+    {
+        return std::nullopt;
+    }
+    return sent_confirmation{std::chrono::microseconds(in.sent_at_us()),
+                             std::chrono::milliseconds(in.confirmed_age_ms())};
 }
 
 void encode(const mesh::suspicion_report& report, v1::SuspicionReport& out)
--- a/src/jujubespan/peer/codec_mutation_test.cpp
+++ b/src/jujubespan/peer/codec_mutation_test.cpp
@@ -36,8 +36,8 @@
     reply.pressures = {{"s", 0.5}};
     encode(reply, *result[1].mutable_reply());
     const mesh::discovery_update update{
-        {4, 6, false, {{"servers/a", 6, "{}", false, 2}}}, {}};
-    encode(update, *result[2].mutable_delta());
+        {4, 6, false, {{"servers/a", 6, "{}", false, 2}}}, {}, now};
+    encode(update, now, *result[2].mutable_delta());
     return result;
 }
 
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -164,7 +164,7 @@
                                    time_point now)
 {
     v1::Envelope message;
-    encode(update, *message.mutable_delta());
+    encode(update, now, *message.mutable_delta());
     for (const auto& peer : peers)
     {
         messenger_.send(peer, message, now);
@@ -202,11 +202,7 @@
         on_suspicion(message, now);
         return;
     case v1::Envelope::kDelta:
-        if (const auto update = decode_discovery(message.delta());
-            update && update_handler_ != nullptr)
-        {
-            update_handler_->on_update(message.from(), *update);
-        }
+        on_discovery_update(message, now);
         return;
     case v1::Envelope::kCall:
         on_call(message, reply_to);
@@ -241,6 +237,26 @@
     }
 }
 
+void routed_transport::on_discovery_update(const v1::Envelope& message,
+                                           time_point now)
+{
+    auto update = decode_discovery(message.delta());
+    if (!update || update_handler_ == nullptr)
+    {
+        return;
+    }
+    if (const auto sent = decode_confirmation(message.delta()))
+    {
+        const auto transit = transit_time_.on_message(
+            message.from(), message.from_incarnation(), sent->sent_at, now);
+        if (transit)
+        {
+            update->confirmed_at = now - *transit - sent->age;
+        }
+    }
+    update_handler_->on_update(message.from(), *update);
+}
+
 void routed_transport::send_report(const mesh::suspicion_report& report,
                                    time_point now)
 {
