Charge requests at the entry to the allowance of their sender

The egress takes a token for each client request of an organisation with an allowance. A request that did not run returns its token.

--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBESPAN_MESH_EGRESS_HPP
 #define JUJUBESPAN_MESH_EGRESS_HPP
 
+#include "jujubespan/mesh/allowance_spender.hpp"
 #include "jujubespan/mesh/balancer.hpp"
 #include "jujubespan/mesh/call.hpp"
 #include "jujubespan/mesh/configuration.hpp"
@@ -17,6 +18,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -77,6 +79,13 @@
     /// admission of new ones; to be called every ten to twenty milliseconds.
     void on_tick(time_point now);
 
+    /// @brief Sets the source of tokens for requests of organisations with an
+    /// allowance; null: allowances are not enforced.
+    void set_allowances(allowance_spender* spender) { allowances_ = spender; }
+
+    /// @brief The spender may have received tokens; sends waiting requests.
+    void on_allowance_tokens(time_point now);
+
     void apply(std::shared_ptr<const configuration> next);
     void apply(const instance_directory& list, time_point now);
 
@@ -87,7 +96,10 @@
     {
         return table_ ? table_->version() : 0;
     }
-    [[nodiscard]] std::size_t in_flight() const { return calls_.size(); }
+    [[nodiscard]] std::size_t in_flight() const
+    {
+        return calls_.size() + waiting_.size();
+    }
 
 private:
     struct open_call
@@ -98,6 +110,7 @@
         bool is_nested{false};
         /// Sender of a client's request, if it needs a key. Owned by `source`.
         const organisation* sender{nullptr};
+        bool charged{false}; // A token of the sender's allowance was taken.
         routed_call message;
         time_point received_at{};
         time_point response_deadline{};
@@ -116,6 +129,13 @@
         std::string instance;
     };
 
+    // A client's request that waits for a token.
+    struct waiting_request
+    {
+        open_call call;
+        time_point until{};
+    };
+
     using call_map = absl::flat_hash_map<std::uint64_t, open_call>;
 
     std::optional<engine::answer> prepare_call(const http_request& request,
@@ -131,6 +151,12 @@
     refuse_suspect(open_call& call, time_point now) const;
     void retry_or_finish(open_call call, const engine::answer& last,
                          time_point now);
+    void charge_and_dispatch(open_call call, time_point now);
+    void expire_waiting(time_point now);
+    void remove_waiting(std::uint64_t exchange, time_point now);
+    void refuse_for_allowance(const open_call& call, time_point now);
+    void refund_if_not_run(const open_call& call, const engine::answer& answer,
+                           time_point now);
     void dispatch(open_call call, const engine::answer& answer_if_unsent,
                   time_point now);
     void record_reply(open_call& call, const routed_reply& reply,
@@ -170,6 +196,12 @@
     call_map calls_;
     time_point next_pressure_update_{};
     bool stopped_admitting_{false};
+    allowance_spender* allowances_{nullptr};
+    std::map<std::uint64_t, waiting_request> waiting_; // in order of arrival
+    std::uint64_t next_waiting_{1};
+    // By exchange.
+    absl::flat_hash_map<std::uint64_t, std::uint64_t> waiting_ids_;
+    string_map<time_point> allowance_logged_at_; // by organisation
     absl::flat_hash_map<std::uint64_t, std::uint64_t> call_ids_;
     absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
     std::uint64_t next_id_{1};
--- a/include/jujubespan/mesh/mesh_metrics.hpp
+++ b/include/jujubespan/mesh/mesh_metrics.hpp
@@ -35,6 +35,12 @@
     std::uint64_t resends{0};
     std::uint64_t clients_disconnected{0};
     std::uint64_t late_replies{0};
+    /// Requests for which a token of an allowance was taken, also those that
+    /// returned it.
+    std::uint64_t allowance_admitted{0};
+    std::uint64_t allowance_refused{0};
+    /// Tokens that this node granted as authority.
+    std::uint64_t allowance_tokens_granted{0};
     std::uint64_t backend_starts{0};
     /// Ends of the own backend server's process.
     std::uint64_t backend_ends{0};
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -150,7 +150,7 @@
         refuse_request(call, *refused);
         return;
     }
-    dispatch(std::move(call), engine::make_refusal(reason::no_upstream), now);
+    charge_and_dispatch(std::move(call), now);
 }
 
 request_fingerprint egress::fingerprint_of(open_call& call)
--- a/src/jujubespan/mesh/egress_completion.cpp
+++ b/src/jujubespan/mesh/egress_completion.cpp
@@ -66,6 +66,7 @@
     const auto found = call_ids_.find(exchange);
     if (found == call_ids_.end())
     {
+        remove_waiting(exchange, now);
         return;
     }
     const std::uint64_t id = found->second;
@@ -98,6 +99,7 @@
                                                         : reason::deadline),
                        now);
     }
+    expire_waiting(now);
     if (now >= next_pressure_update_)
     {
         next_pressure_update_ = now + pressure_interval;
@@ -122,6 +124,7 @@
     const answer& earlier = call.server_error ? *call.server_error : unknown;
     // References, so that the response is not copied.
     const answer& final_answer = earlier_ran ? earlier : last;
+    refund_if_not_run(call, final_answer, now);
     ++shared_.metrics.outcomes[static_cast<std::size_t>(final_answer.result)];
     ++shared_.metrics
           .egress_reasons[static_cast<std::size_t>(final_answer.reason)];
