Exchange requests for tokens between nodes

routed_transport sends and answers AllowanceRequest; messages with numbers out of range or too many entries are dropped and logged. mesh_loop connects spender, authority and egress, and does nothing for configurations without an allowance. A test of two nodes over sockets shows that both get tokens from one of them and that the allowance ends.

--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -4,6 +4,8 @@
 #include "jujubespan/backend/backend_client.hpp"
 #include "jujubespan/config/mesh_settings.hpp"
 #include "jujubespan/http/server.hpp"
+#include "jujubespan/mesh/allowance_authority.hpp"
+#include "jujubespan/mesh/allowance_spender.hpp"
 #include "jujubespan/mesh/egress.hpp"
 #include "jujubespan/mesh/guard.hpp"
 #include "jujubespan/peer/routed_transport.hpp"
@@ -106,6 +108,8 @@
     void respond(std::uint64_t exchange,
                  const http_response& response) override;
     void on_tick();
+    void apply_allowances();
+    void send_allowance_requests(time_point now);
     void check_drain_end(time_point now);
     [[nodiscard]] bool is_ready() const;
 
@@ -115,6 +119,8 @@
     mesh::mesh_state shared_;
     backend::backend_client backend_;
     peer::routed_transport peers_;
+    mesh::allowance_spender allowance_spender_;
+    mesh::allowance_authority allowance_authority_;
     mesh::guard guard_;
     mesh::egress egress_;
     http::server client_server_;
--- a/include/jujubespan/peer/codec.hpp
+++ b/include/jujubespan/peer/codec.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESPAN_PEER_CODEC_HPP
 
 #include "jujubespan/engine/call.hpp"
+#include "jujubespan/mesh/allowance_messages.hpp"
 #include "jujubespan/mesh/call.hpp"
 #include "jujubespan/mesh/discovery_sharing.hpp"
 #include "jujubespan/mesh/suspect_requests.hpp"
@@ -14,6 +15,8 @@
 
 namespace v1
 {
+class AllowanceGrant;
+class AllowanceRequest;
 class Call;
 class Delta;
 class Reply;
@@ -59,6 +62,16 @@
 std::optional<mesh::suspicion_report>
 decode_suspicion(const v1::SuspicionReport& in);
 
+void encode(const mesh::allowance_request& request, v1::AllowanceRequest& out);
+
+/// @return empty if the list is too long or a number is out of range.
+std::optional<mesh::allowance_request> decode(const v1::AllowanceRequest& in);
+
+void encode(const mesh::allowance_grant& grant, v1::AllowanceGrant& out);
+
+/// @return empty if the list is too long or a number is out of range.
+std::optional<mesh::allowance_grant> decode(const v1::AllowanceGrant& in);
+
 } // namespace jujubespan::peer
 
 #endif
--- a/include/jujubespan/peer/routed_transport.hpp
+++ b/include/jujubespan/peer/routed_transport.hpp
@@ -1,6 +1,8 @@
 #ifndef JUJUBESPAN_PEER_ROUTED_TRANSPORT_HPP
 #define JUJUBESPAN_PEER_ROUTED_TRANSPORT_HPP
 
+#include "jujubespan/mesh/allowance_authority.hpp"
+#include "jujubespan/mesh/allowance_spender.hpp"
 #include "jujubespan/mesh/discovery_sharing.hpp"
 #include "jujubespan/mesh/egress.hpp"
 #include "jujubespan/mesh/guard.hpp"
@@ -40,6 +42,21 @@
     /// `bind`.
     void set_receivers(mesh::egress& egress, mesh::guard& guard);
 
+    /// @brief Sets the receivers of messages about allowances. Must be called
+    /// before `bind`.
+    void set_allowances(mesh::allowance_spender& spender,
+                        mesh::allowance_authority& authority)
+    {
+        spender_ = &spender;
+        authority_ = &authority;
+    }
+
+    /// @brief Sends a request for tokens; it may be lost. A request to this
+    /// node itself is answered before the function returns.
+    void
+    send_allowance_request(const mesh::outgoing_allowance_request& outgoing,
+                           time_point now);
+
     /// @brief Sets the receiver of discovery updates; null: none.
     void set_update_handler(mesh::discovery_update_handler* handler)
     {
@@ -98,6 +115,9 @@
     void on_call(const v1::Envelope& message, const routing_id& reply_to);
     void call_self(const mesh::routed_call& call);
     void on_suspicion(const v1::Envelope& message, time_point now);
+    void on_allowance_request(const v1::Envelope& message,
+                              const routing_id& reply_to, time_point now);
+    void on_allowance_grant(const v1::Envelope& message, time_point now);
     void compare_quarantine(const v1::Envelope& message, time_point now);
     void update_quarantine_digest(time_point now);
 
@@ -106,6 +126,8 @@
     messenger messenger_;
     mesh::egress* egress_{nullptr};
     mesh::guard* guard_{nullptr};
+    mesh::allowance_spender* spender_{nullptr};
+    mesh::allowance_authority* authority_{nullptr};
     inbound_calls inbound_;
     mesh::discovery_update_handler* update_handler_{nullptr};
     std::uint64_t highest_discovery_revision_{0}; ///< Of received messages.
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -88,6 +88,12 @@
     return {options.service, options.failure_domain, names};
 }
 
+mesh::allowance_bound
+make_allowance_bound(const config::allowance_settings& settings)
+{
+    return {settings.window, settings.tolerance, settings.slack};
+}
+
 mesh::guard_options make_guard_options(const config::mesh_settings& options,
                                        const mesh::header_names& names)
 {
@@ -113,6 +119,9 @@
       peers_(context, options.call_address,
              options.call_listen_address.value_or(options.call_address),
              incarnation),
+      allowance_spender_(config::to_string(options.call_address),
+                         options.failure_domain),
+      allowance_authority_(make_allowance_bound(options.allowance)),
       guard_(make_guard_options(options, names), shared_, backend_, peers_,
              boot_clock::now()),
       egress_(make_egress_options(options, names), shared_, *this, peers_,
@@ -123,6 +132,8 @@
 {
     backend_.bind(guard_);
     peers_.set_receivers(egress_, guard_);
+    peers_.set_allowances(allowance_spender_, allowance_authority_);
+    egress_.set_allowances(&allowance_spender_);
     readiness_handler_.bind(readiness_server_);
     QObject::connect(&tick_timer_, &QTimer::timeout, &context_object_,
                      [this] { on_tick(); });
@@ -170,6 +181,7 @@
     client_server_.set_limits(
         make_client_limits(options_, configuration_->clients));
     egress_.apply(configuration_);
+    apply_allowances();
     for (const auto& service : configuration_->services)
     {
         if (service.name == options_.service && service.max_connections > 0)
@@ -190,12 +202,48 @@
     // The guard keeps a pointer to its list. The previous list is therefore
     // released only after the guard has received the new one.
     instances_ = std::move(list);
+    if (allowance_spender_.enabled())
+    {
+        allowance_spender_.apply(*instances_, now);
+        allowance_authority_.apply(*instances_, now);
+    }
+}
+
+// The instance list is passed on only while an organisation has an allowance.
+void mesh_loop::apply_allowances()
+{
+    const bool was_enabled = allowance_spender_.enabled();
+    allowance_spender_.apply(*configuration_);
+    allowance_authority_.apply(*configuration_);
+    if (!was_enabled && allowance_spender_.enabled() && instances_)
+    {
+        const auto now = boot_clock::now();
+        allowance_spender_.apply(*instances_, now);
+        allowance_authority_.apply(*instances_, now);
+    }
+}
+
+void mesh_loop::send_allowance_requests(time_point now)
+{
+    if (!allowance_spender_.enabled())
+    {
+        return;
+    }
+    while (const auto next = allowance_spender_.next_request(now))
+    {
+        peers_.send_allowance_request(*next, now);
+    }
 }
 
 void mesh_loop::on_request(std::uint64_t exchange, http_request request)
 {
     backend::normalize_target(request);
-    egress_.on_request(exchange, std::move(request), boot_clock::now());
+    const auto now = boot_clock::now();
+    egress_.on_request(exchange, std::move(request), now);
+    if (allowance_spender_.has_waiting())
+    {
+        send_allowance_requests(now);
+    }
 }
 
 void mesh_loop::on_client_disconnected(std::uint64_t exchange)
@@ -214,6 +262,7 @@
     peers_.on_tick(now);
     guard_.on_tick(now);
     egress_.on_tick(now);
+    send_allowance_requests(now);
     if (on_drained_)
     {
         check_drain_end(now);
@@ -270,6 +319,8 @@
 {
     mesh_report report;
     report.metrics = shared_.metrics;
+    report.metrics.allowance_tokens_granted =
+        allowance_authority_.tokens_granted();
     report.peer_counters = peers_.counters();
     report.peer_connections = peers_.connection_count();
     report.client_connections = client_server_.connection_count();
--- a/src/jujubespan/node/mesh_loop_test.cpp
+++ b/src/jujubespan/node/mesh_loop_test.cpp
@@ -404,5 +404,50 @@
     EXPECT_EQ(backend.requests.size(), 3U);
 }
 
+// One of the nodes grants the tokens of both.
+TEST_F(two_nodes, allowance_is_shared_by_the_nodes)
+{
+    auto next = std::make_shared<mesh::configuration>(*routes);
+    next->version = 2;
+    next->organisations = {{"shop", {"k"}, {}, {10, 6}}};
+    routes = next;
+    for (auto* node : {&caller_node, &callee_node})
+    {
+        publish_to(*node);
+    }
+    wait_for([] { return false; }, 1000);
+    recording_client other_client(callee_settings.client_address);
+    std::uint64_t exchange = 0;
+    const auto send = [&](recording_client& from)
+    {
+        auto message = request("id-" + std::to_string(++exchange));
+        message.headers.push_back({mesh::header_names{}.key, "k"});
+        from.client.start(exchange, message);
+        EXPECT_TRUE(wait_for([&] { return from.status(exchange) != 0; }));
+        return from.status(exchange);
+    };
+    EXPECT_EQ(send(client), 200U);
+    EXPECT_EQ(send(other_client), 200U);
+    unsigned last = 0;
+    for (int i = 0; i < 100 && last != 429; ++i)
+    {
+        last = send(i % 2 == 0 ? client : other_client);
+    }
+    EXPECT_EQ(last, 429U);
+    const auto admitted = backend.requests.size();
+    std::uint64_t granted = 0;
+    for (auto* node : {&caller_node, &callee_node})
+    {
+        auto& loop = node->loop();
+        loop.run_and_wait(
+            [&]
+            {
+                const auto counts = loop.make_report().metrics;
+                granted += counts.allowance_tokens_granted;
+            });
+    }
+    EXPECT_GE(granted, admitted);
+}
+
 } // namespace
 } // namespace jujubespan::node
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -107,6 +107,15 @@
     add_counter(out, "jujubespan_late_replies_total",
                 "Replies to calls that were given up.",
                 static_cast<double>(counts.late_replies));
+    add_counter(out, "jujubespan_allowance_admitted_total",
+                "Requests charged to the allowance of an organisation.",
+                static_cast<double>(counts.allowance_admitted));
+    add_counter(out, "jujubespan_allowance_refused_total",
+                "Requests refused because an allowance was used up.",
+                static_cast<double>(counts.allowance_refused));
+    add_counter(out, "jujubespan_allowance_tokens_granted_total",
+                "Tokens of allowances granted to nodes.",
+                static_cast<double>(counts.allowance_tokens_granted));
     add_counter(out, "jujubespan_backend_starts_total",
                 "Requests sent to the own backend server.",
                 static_cast<double>(counts.backend_starts));
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -16,6 +16,9 @@
 constexpr unsigned min_status = 100;
 constexpr unsigned max_status = 999;
 constexpr int max_suspicion_entries = 16'384; // of each list
+constexpr int max_allowance_entries = 4096;
+constexpr double max_allowance_number = 1e7; // tokens or requests per second
+constexpr std::uint32_t max_next_token_ms = 60'000;
 
 std::uint32_t age_ms(duration age)
 {
@@ -44,6 +47,12 @@
     return headers;
 }
 
+// False also if the value is not a number.
+bool is_allowance_number(double value)
+{
+    return value >= 0 && value <= max_allowance_number;
+}
+
 std::uint64_t remaining_us(time_point deadline, time_point now)
 {
     const auto remaining =
@@ -435,4 +444,75 @@
     return report;
 }
 
+void encode(const mesh::allowance_request& request, v1::AllowanceRequest& out)
+{
+    out.set_sequence(request.sequence);
+    for (const auto& item : request.demands)
+    {
+        auto* added = out.add_demands();
+        added->set_organisation(item.organisation);
+        added->set_wanted(static_cast<float>(item.wanted));
+        added->set_held(static_cast<float>(item.held));
+        added->set_offered_rate(static_cast<float>(item.offered_rate));
+    }
+}
+
+std::optional<mesh::allowance_request> decode(const v1::AllowanceRequest& in)
+{
+    if (in.demands_size() > max_allowance_entries)
+    {
+        return std::nullopt;
+    }
+    mesh::allowance_request request;
+    request.sequence = in.sequence();
+    for (const auto& item : in.demands())
+    {
+        if (!is_allowance_number(item.wanted()) ||
+            !is_allowance_number(item.held()) ||
+            !is_allowance_number(item.offered_rate()))
+        {
+            return std::nullopt;
+        }
+        request.demands.push_back({item.organisation(), item.wanted(),
+                                   item.held(), item.offered_rate()});
+    }
+    return request;
+}
+
+void encode(const mesh::allowance_grant& grant, v1::AllowanceGrant& out)
+{
+    out.set_sequence(grant.sequence);
+    for (const auto& item : grant.shares)
+    {
+        auto* added = out.add_shares();
+        added->set_organisation(item.organisation);
+        added->set_tokens(static_cast<float>(item.tokens));
+        const auto wait =
+            std::chrono::ceil<std::chrono::milliseconds>(item.next_token);
+        added->set_next_token_ms(age_ms(wait));
+    }
+}
+
+std::optional<mesh::allowance_grant> decode(const v1::AllowanceGrant& in)
+{
+    if (in.shares_size() > max_allowance_entries)
+    {
+        return std::nullopt;
+    }
+    mesh::allowance_grant grant;
+    grant.sequence = in.sequence();
+    for (const auto& item : in.shares())
+    {
+        if (!is_allowance_number(item.tokens()) ||
+            item.next_token_ms() > max_next_token_ms)
+        {
+            return std::nullopt;
+        }
+        grant.shares.push_back(
+            {item.organisation(), item.tokens(),
+             std::chrono::milliseconds(item.next_token_ms())});
+    }
+    return grant;
+}
+
 } // namespace jujubespan::peer
--- a/src/jujubespan/peer/codec_test.cpp
+++ b/src/jujubespan/peer/codec_test.cpp
@@ -124,6 +124,66 @@
     EXPECT_FALSE(decode_suspicion(message));
 }
 
+TEST(peer_codec, allowance_messages_are_restored)
+{
+    v1::AllowanceRequest request;
+    encode(mesh::allowance_request{7, {{11, 2, 1, 3.5}}}, request);
+    const auto asked = decode(request);
+    ASSERT_TRUE(asked && asked->demands.size() == 1);
+    EXPECT_EQ(asked->sequence, 7U);
+    EXPECT_EQ(asked->demands[0].organisation, 11U);
+    EXPECT_EQ(asked->demands[0].wanted, 2);
+    EXPECT_EQ(asked->demands[0].held, 1);
+    EXPECT_EQ(asked->demands[0].offered_rate, 3.5);
+    v1::AllowanceGrant grant;
+    encode(mesh::allowance_grant{7, {{11, 2, 1500us}}}, grant);
+    const auto granted = decode(grant);
+    ASSERT_TRUE(granted && granted->shares.size() == 1);
+    EXPECT_EQ(granted->sequence, 7U);
+    EXPECT_EQ(granted->shares[0].organisation, 11U);
+    EXPECT_EQ(granted->shares[0].tokens, 2);
+    EXPECT_EQ(granted->shares[0].next_token, 2ms) << "zero means none missing";
+}
+
+// One such number would empty a bucket or admit everything.
+TEST(peer_codec, allowance_messages_with_invalid_numbers_are_dropped)
+{
+    for (const float value : {std::numeric_limits<float>::quiet_NaN(),
+                              std::numeric_limits<float>::infinity(),
+                              std::numeric_limits<float>::max(), -1.0F})
+    {
+        for (int field = 0; field < 3; ++field)
+        {
+            v1::AllowanceRequest request;
+            auto* demand = request.add_demands();
+            EXPECT_TRUE(decode(request));
+            demand->set_wanted(field == 0 ? value : 0);
+            demand->set_held(field == 1 ? value : 0);
+            demand->set_offered_rate(field == 2 ? value : 0);
+            EXPECT_FALSE(decode(request));
+        }
+        v1::AllowanceGrant grant;
+        grant.add_shares()->set_tokens(value);
+        EXPECT_FALSE(decode(grant));
+    }
+    v1::AllowanceGrant late;
+    late.add_shares()->set_next_token_ms(4'000'000'000U);
+    EXPECT_FALSE(decode(late));
+}
+
+TEST(peer_codec, allowance_messages_that_are_too_long_are_dropped)
+{
+    v1::AllowanceRequest request;
+    v1::AllowanceGrant grant;
+    for (int i = 0; i < 5000; ++i)
+    {
+        request.add_demands();
+        grant.add_shares();
+    }
+    EXPECT_FALSE(decode(request));
+    EXPECT_FALSE(decode(grant));
+}
+
 // A node of an earlier version drops replies with reasons that it does not
 // know.
 TEST(peer_codec, quarantined_reply_is_understood_by_earlier_nodes)
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -201,6 +201,12 @@
     case v1::Envelope::kSuspicion:
         on_suspicion(message, now);
         return;
+    case v1::Envelope::kAllowanceRequest:
+        on_allowance_request(message, reply_to, now);
+        return;
+    case v1::Envelope::kAllowanceGrant:
+        on_allowance_grant(message, now);
+        return;
     case v1::Envelope::kDelta:
         if (const auto update = decode_discovery(message.delta());
             update && update_handler_ != nullptr)
@@ -265,6 +271,65 @@
     update_quarantine_digest(now);
 }
 
+void routed_transport::send_allowance_request(
+    const mesh::outgoing_allowance_request& outgoing, time_point now)
+{
+    if (outgoing.peer == own_address_)
+    {
+        if (const auto grant =
+                authority_->on_request(own_address_, outgoing.request, now))
+        {
+            spender_->on_grant(own_address_, *grant, now);
+            egress_->on_allowance_tokens(now);
+        }
+        return;
+    }
+    v1::Envelope message;
+    encode(outgoing.request, *message.mutable_allowance_request());
+    messenger_.send(outgoing.peer, message, now);
+}
+
+void routed_transport::on_allowance_request(const v1::Envelope& message,
+                                            const routing_id& reply_to,
+                                            time_point now)
+{
+    const auto request = decode(message.allowance_request());
+    if (!request)
+    {
+        log(log_level::warn, "allowance_unreadable", "peer={} bytes={}",
+            message.from(), message.ByteSizeLong());
+        return;
+    }
+    if (authority_ == nullptr || reply_to.empty())
+    {
+        return;
+    }
+    if (const auto grant =
+            authority_->on_request(message.from(), *request, now))
+    {
+        v1::Envelope answer;
+        encode(*grant, *answer.mutable_allowance_grant());
+        messenger_.send_reply(reply_to, message.from(), answer);
+    }
+}
+
+void routed_transport::on_allowance_grant(const v1::Envelope& message,
+                                          time_point now)
+{
+    const auto grant = decode(message.allowance_grant());
+    if (!grant)
+    {
+        log(log_level::warn, "allowance_unreadable", "peer={} bytes={}",
+            message.from(), message.ByteSizeLong());
+        return;
+    }
+    if (spender_ != nullptr)
+    {
+        spender_->on_grant(message.from(), *grant, now);
+        egress_->on_allowance_tokens(now);
+    }
+}
+
 void routed_transport::update_quarantine_digest(time_point now)
 {
     const auto digest = guard_->suspects().digest();
@@ -312,6 +377,10 @@
 void routed_transport::on_connection_lost(std::string_view peer)
 {
     log(log_level::warn, "peer_lost", "peer={}", peer);
+    if (spender_ != nullptr)
+    {
+        spender_->on_peer_lost(peer);
+    }
     egress_->on_peer_lost(peer, boot_clock::now());
 }
 
