--- a/include/jujubespan/mesh/running_calls.hpp
+++ b/include/jujubespan/mesh/running_calls.hpp
@@ -27,8 +27,10 @@
 ///
 /// The id of a call made by a running request is usually the id of that
 /// request with a suffix after a dot. A call without a known parent is treated
-/// as a client request; therefore the relation is used only for ordering and
-/// accounting and never decides whether a call may run.
+/// as a client request; therefore the relation is used for ordering and
+/// accounting. It decides whether a call may run in one case only: where
+/// requests need keys, a call without a key needs a known parent, unless its
+/// route is anonymous.
 class running_calls
 {
 public:
