Carry the slow-down factor of a server in replies

Callers could not learn that a backend server is slower than usual for some hundred milliseconds. Replies now carry the factor in Reply.slowness and upstream_load::slowness; it is not written while it is not known, so the bytes for other servers are unchanged.

--- a/include/jujubespan/policy/upstream_set.hpp
+++ b/include/jujubespan/policy/upstream_set.hpp
@@ -28,6 +28,8 @@
 {
     std::uint32_t in_flight{0};
     std::uint32_t limit{0}; ///< Zero when not reported.
+    /// Execution time relative to the usual one; zero when not known.
+    float slowness{0};
 };
 
 /// @brief Parameters of upstream selection.
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -23,6 +23,16 @@
         milliseconds(age), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+// Zero, as for a sender that does not know it, unless the value is usable.
+float valid_slowness(float value)
+{
+    constexpr float min_slowness = 0.25F;
+    constexpr float max_slowness = 16;
+    return std::isfinite(value) && value > 0
+               ? std::clamp(value, min_slowness, max_slowness)
+               : 0;
+}
+
 void encode_headers(const std::vector<http_header>& headers, auto& out)
 {
     for (const auto& header : headers)
@@ -149,6 +159,7 @@
     out.set_leaving(answer.leaving);
     out.set_in_flight(answer.load.in_flight);
     out.set_limit(answer.load.limit);
+    out.set_slowness(answer.load.slowness);
 }
 
 std::optional<engine::answer> decode(const v1::Reply& in)
@@ -178,7 +189,7 @@
     answer.elsewhere_may_help = in.elsewhere_may_help();
     answer.retry_after = std::chrono::milliseconds(in.retry_after_ms());
     answer.leaving = in.leaving();
-    answer.load = {in.in_flight(), in.limit()};
+    answer.load = {in.in_flight(), in.limit(), valid_slowness(in.slowness())};
     return answer;
 }
 
--- a/src/jujubespan/peer/codec_test.cpp
+++ b/src/jujubespan/peer/codec_test.cpp
@@ -83,6 +83,30 @@
     EXPECT_EQ(transfer(reply)->leaving_incarnation, 0U);
 }
 
+// Guards against bytes on the wire for servers without a load header, and
+// against factors that a faulty node makes up.
+TEST(peer_codec, reply_carries_the_slowness)
+{
+    mesh::routed_reply reply;
+    reply.answer.response.status = 200;
+    reply.answer.load = {3, 50};
+    v1::Reply message;
+    encode(reply, message);
+    const auto bytes_without = message.ByteSizeLong();
+    ASSERT_TRUE(transfer(reply));
+    EXPECT_EQ(transfer(reply)->answer.load.slowness, 0);
+    reply.answer.load.slowness = 2.5F;
+    encode(reply, message);
+    EXPECT_EQ(message.ByteSizeLong(), bytes_without + 6);
+    EXPECT_EQ(transfer(reply)->answer.load.slowness, 2.5F);
+    message.set_slowness(std::numeric_limits<float>::quiet_NaN());
+    EXPECT_EQ(decode_routed(message)->answer.load.slowness, 0);
+    message.set_slowness(-1);
+    EXPECT_EQ(decode_routed(message)->answer.load.slowness, 0);
+    message.set_slowness(1e30F);
+    EXPECT_EQ(decode_routed(message)->answer.load.slowness, 16);
+}
+
 TEST(peer_codec, full_queue_without_a_rate_limit_stays_one)
 {
     mesh::routed_reply reply;
