Report the slow-down factor and return calls queued at a slow server

A queue filled at the usual speed makes its last calls wait several times longer when the server's machine slows down. From a factor of 2, the guard returns the queued calls that would not start within queue_wait, as not run and with elsewhere_may_help.

The factor and the number of ignored headers are metrics; ignored headers are logged at most once per second. policy, engine, node and mesh tests passed.

--- a/include/jujubespan/engine/admission_gate.hpp
+++ b/include/jujubespan/engine/admission_gate.hpp
@@ -80,6 +80,13 @@
     std::vector<std::uint64_t> set_start_rate(std::optional<double> rate,
                                               time_point now);
 
+    /// @brief Removes queued calls of lowest priority while there are more than
+    /// start within the target wait if calls take `run_time`. Prioritized
+    /// calls may be four times as many.
+    /// @param run_time zero when it is not known; then none is removed.
+    /// @return ids of the calls removed.
+    std::vector<std::uint64_t> trim_queue(duration run_time, time_point now);
+
     /// @brief True while the start rate, and not the concurrency limit, keeps
     /// calls from starting.
     [[nodiscard]] bool is_paced(time_point now) const
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -10,6 +10,7 @@
 #include "jujubespan/mesh/request_fingerprint.hpp"
 #include "jujubespan/mesh/server_announcement.hpp"
 #include "jujubespan/mesh/server_end_detector.hpp"
+#include "jujubespan/mesh/server_load.hpp"
 #include "jujubespan/mesh/suspect_requests.hpp"
 
 #include <absl/container/btree_set.h>
@@ -142,6 +143,9 @@
     classify_response(http_response response) const;
     void record_announcement(const pending_call& call,
                              const http_response& response, time_point now);
+    void record_server_load(const pending_call& call,
+                            const http_response& response, time_point now);
+    void return_late_calls(time_point now);
     void record_known_limit(const routed_call& call, time_point now);
     void apply_rate_limit(time_point now);
     [[nodiscard]] engine::reason full_queue_reason(time_point now) const;
@@ -182,6 +186,8 @@
     bool stopped_admitting_{false};
     server_announcement announcement_; // of the latest readable response
     announced_limit rate_limit_;
+    server_speed speed_;
+    time_point next_load_defect_log_{};
     server_end_detector end_detector_;
     // Ids of calls whose exchanges failed and whose replies wait for a probe.
     std::vector<std::uint64_t> failed_calls_;
--- a/include/jujubespan/mesh/mesh_metrics.hpp
+++ b/include/jujubespan/mesh/mesh_metrics.hpp
@@ -40,6 +40,8 @@
     std::uint64_t backend_ends{0};
     /// Requests per second announced by the own backend server.
     std::optional<double> backend_rate_limit;
+    /// Load headers of the own backend server that could not be parsed.
+    std::uint64_t ignored_load_headers{0};
     bool backend_leaving{false}; ///< Announced by the own backend server.
 };
 
--- a/include/jujubespan/policy/admission_queue.hpp
+++ b/include/jujubespan/policy/admission_queue.hpp
@@ -68,6 +68,12 @@
     /// first.
     std::vector<std::uint64_t> set_hard_limit(std::size_t hard_limit);
 
+    /// @brief Removes the calls of lowest priority while there are more than
+    /// `bound`, or four times as many if the lowest one is prioritized. Does
+    /// not change the bound for further calls.
+    /// @return ids of the calls removed, lowest priority first.
+    std::vector<std::uint64_t> trim(std::size_t bound);
+
     /// @brief Removes a call; returns false when it is not queued.
     bool remove(std::uint64_t id);
 
--- a/src/jujubespan/engine/admission_gate.cpp
+++ b/src/jujubespan/engine/admission_gate.cpp
@@ -59,6 +59,19 @@
         static_cast<std::size_t>(starts), 1, max_queue_));
 }
 
+std::vector<std::uint64_t> admission_gate::trim_queue(duration run_time,
+                                                      time_point now)
+{
+    if (run_time <= duration::zero())
+    {
+        return {};
+    }
+    const double starts =
+        std::ceil(limit(now) * seconds(queue_wait_) / seconds(run_time));
+    return queue_.trim(static_cast<std::size_t>(
+        std::min(starts, static_cast<double>(max_queue_))));
+}
+
 void admission_gate::accumulate_busy_time(time_point now)
 {
     if (busy_time_counted_until_ != time_point{})
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -28,6 +28,11 @@
 // A call with less time than this until its deadline is refused.
 constexpr duration min_run_time = std::chrono::milliseconds(5);
 
+// Slow-down factor from which queued calls are returned.
+constexpr double slow_server = 2;
+constexpr duration load_defect_log_interval = std::chrono::seconds(1);
+constexpr std::size_t max_logged_header = 64;
+
 constexpr unsigned request_timeout = 408;
 constexpr unsigned misdirected = 421;
 constexpr unsigned too_many_requests = 429;
@@ -370,6 +375,47 @@
     apply_rate_limit(now);
 }
 
+void guard::record_server_load(const pending_call& call,
+                               const http_response& response, time_point now)
+{
+    const auto header =
+        find_header(response.headers, options_.names.server_load);
+    if (header.empty() || response.status == misdirected)
+    {
+        return;
+    }
+    const auto load = parse_server_load(header);
+    if (load)
+    {
+        speed_.on_header(*load, now);
+        return;
+    }
+    ++shared_.metrics.ignored_load_headers;
+    if (now >= next_load_defect_log_)
+    {
+        next_load_defect_log_ = now + load_defect_log_interval;
+        log(log_level::warn, "server_load_ignored",
+            "request={} instance={} value=\"{}\" ignored={}",
+            call.message.request_id, call.message.instance,
+            header.substr(0, max_logged_header),
+            shared_.metrics.ignored_load_headers);
+    }
+}
+
+// The queue was filled at the usual speed. The last of its calls would wait
+// several times longer than intended; other instances may run them sooner.
+void guard::return_late_calls(time_point now)
+{
+    if (gate_.queued() == 0 || speed_.slowness(now) < slow_server)
+    {
+        return;
+    }
+    for (const auto id : gate_.trim_queue(speed_.expected_run_time(now), now))
+    {
+        refuse_call(id, reason::queue_full, now);
+    }
+}
+
 void guard::record_known_limit(const routed_call& call, time_point now)
 {
     if (!call.known_rate_limit || call.service != options_.service)
@@ -415,6 +461,7 @@
     switch (end)
     {
     case engine::backend_end::answered:
+        record_server_load(found->second, response, now);
         end_detector_.on_response();
         reply.reached_backend = true;
         record_announcement(found->second, response, now);
@@ -435,6 +482,7 @@
     }
     finish_call(found, std::move(reply), now);
     run_queued_calls(now);
+    return_late_calls(now);
 }
 
 void guard::log_failed_call(const pending_call& call, const routed_reply& reply,
@@ -556,6 +604,10 @@
         reply.residence_time = now - call.received_at;
         if (answered)
         {
+            if (speed_.is_known(now))
+            {
+                speed_.on_run(call.message.route, now - call.started_at, now);
+            }
             shared_.metrics.backend.add(now - call.started_at);
         }
     }
@@ -631,13 +683,23 @@
         refuse_call(id, reason::deadline, now);
     }
     run_queued_calls(now);
+    return_late_calls(now);
 }
 
+// The limit is not divided by the slow-down factor: calls that take longer are
+// in progress for longer, so the ratio of the two already shows the lost
+// capacity. Divided as well, admission at the entry refused 5 % of the requests
+// at 80 % of the capacity of servers that share their machines.
 upstream_load guard::load(time_point now) const
 {
-    return {gate_.running() + static_cast<std::uint32_t>(gate_.queued()),
-            options_.protection ? gate_.usable_concurrency(now)
-                                : published_slots_};
+    upstream_load result{
+        gate_.running() + static_cast<std::uint32_t>(gate_.queued()),
+        options_.protection ? gate_.usable_concurrency(now) : published_slots_};
+    if (speed_.is_known(now))
+    {
+        result.slowness = static_cast<float>(speed_.slowness(now));
+    }
+    return result;
 }
 
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -49,6 +49,7 @@
 protected:
     guard_test()
     {
+        names.server_load = options().names.server_load;
         list_instance(false);
         target.apply(directory, now);
     }
@@ -61,6 +62,8 @@
         value.retry_budget = {0.2, 10, 10s};
         value.fleet_starting = true;
         value.max_body_bytes = 2500;
+        // Headers with the prefix of the nodes' own are not passed on.
+        value.names.server_load = "Server-Load";
         return value;
     }
 
@@ -285,6 +288,75 @@
     EXPECT_EQ(reply(1).result, outcome::answered);
 }
 
+TEST_F(guard_test, reply_carries_the_slowness_and_the_header)
+{
+    call(1);
+    answer(1, 200, {{names.signature, "x"}, {names.server_load, "1,0,3,250"}});
+    EXPECT_EQ(reply(1).load.slowness, 2.5F);
+    EXPECT_EQ(reply(1).load.limit, 2U) << "not divided";
+    EXPECT_EQ(find_header(reply(1).response.headers, names.server_load),
+              "1,0,3,250");
+    now += 1s;
+    EXPECT_EQ(target.load(now).slowness, 0);
+    EXPECT_EQ(shared.metrics.ignored_load_headers, 0U);
+}
+
+// Guards against changes for servers that send an earlier form or no header.
+TEST_F(guard_test, header_without_a_factor_changes_nothing)
+{
+    call(1);
+    answer(1, 200, {{names.signature, "x"}, {names.server_load, "1,0,3"}});
+    EXPECT_EQ(reply(1).load.slowness, 0);
+    EXPECT_EQ(shared.metrics.ignored_load_headers, 0U);
+}
+
+// Guards against a faulty header that makes a server appear fast, or that
+// costs the response.
+TEST_F(guard_test, faulty_load_header_is_counted)
+{
+    call(1);
+    answer(1, 200, {{names.signature, "x"}, {names.server_load, "1,0,3,-5"}});
+    EXPECT_EQ(reply(1).result, outcome::answered);
+    EXPECT_EQ(reply(1).load.slowness, 0);
+    EXPECT_EQ(shared.metrics.ignored_load_headers, 1U);
+}
+
+TEST_F(guard_test, load_header_of_another_server_is_not_read)
+{
+    call(1);
+    answer(1, 421, {{names.server_load, "1,0,3,250"}});
+    EXPECT_EQ(reply(1).load.slowness, 0);
+}
+
+// Guards against calls that wait at a slow server while others are idle.
+TEST_F(guard_test, queued_calls_that_would_start_late_are_returned)
+{
+    const auto run = [&](std::uint64_t id, const std::string& percent)
+    {
+        now += 100ms;
+        answer(
+            id, 200,
+            {{names.signature, "x"}, {names.server_load, "1,0,3," + percent}});
+    };
+    for (std::uint64_t id = 1; id <= 30; ++id)
+    {
+        call(id);
+        run(id, "100");
+    }
+    for (std::uint64_t id = 31; id <= 42; ++id)
+    {
+        call(id);
+    }
+    run(31, "100");
+    EXPECT_EQ(replies.replies.size(), 31U) << "none returned at usual speed";
+    run(32, "300"); // Two slots, 300 ms a call: one starts within 100 ms.
+    EXPECT_EQ(reply(42).result, outcome::not_run);
+    EXPECT_EQ(reply(42).reason, reason::queue_full);
+    EXPECT_TRUE(reply(42).elsewhere_may_help);
+    EXPECT_FALSE(backend.requests.contains(42));
+    EXPECT_EQ(target.in_flight(), 3U) << "two running, one queued";
+}
+
 // Callers that lose answers retry every call.
 TEST_F(guard_test, retries_beyond_the_budget_are_refused_as_not_run)
 {
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -143,6 +143,17 @@
                   "absent without a limit.",
                   *counts.backend_rate_limit);
     }
+    if (traffic.guard_load.slowness > 0)
+    {
+        add_gauge(out, "jujubespan_backend_slowness",
+                  "Execution time of the own backend server relative to the "
+                  "usual one; absent when it has not stated any for a second.",
+                  traffic.guard_load.slowness);
+    }
+    add_counter(out, "jujubespan_ignored_load_headers_total",
+                "Load headers of the own backend server that could not be "
+                "parsed.",
+                static_cast<double>(counts.ignored_load_headers));
     add_gauge(out, "jujubespan_backend_leaving",
               "1 once the own backend server has announced that it stops.",
               counts.backend_leaving ? 1 : 0);
--- a/src/jujubespan/policy/admission_queue.cpp
+++ b/src/jujubespan/policy/admission_queue.cpp
@@ -102,6 +102,23 @@
     return removed;
 }
 
+std::vector<std::uint64_t> admission_queue::trim(std::size_t bound)
+{
+    std::vector<std::uint64_t> removed;
+    while (order_.size() > bound)
+    {
+        const priority lowest = *std::prev(order_.end());
+        if (calls_.at(lowest.id).second.prioritized &&
+            order_.size() <= bound * prioritized_bound_factor)
+        {
+            break;
+        }
+        removed.push_back(lowest.id);
+        erase(lowest);
+    }
+    return removed;
+}
+
 bool admission_queue::remove(std::uint64_t id)
 {
     const auto found = calls_.find(id);
--- a/src/jujubespan/policy/admission_queue_test.cpp
+++ b/src/jujubespan/policy/admission_queue_test.cpp
@@ -39,6 +39,21 @@
     EXPECT_EQ(order, (std::vector<std::uint64_t>{3, 2, 4, 1}));
 }
 
+// Guards against a server that returns calls for which other services have
+// already worked while it could return others.
+TEST(admission_queue, trim_removes_the_lowest_and_keeps_prioritized_calls)
+{
+    admission_queue queue(100ms, 100);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+    {
+        queue.offer(make_call(id, request_class::normal, id <= 3));
+    }
+    EXPECT_EQ(queue.trim(1), (std::vector<std::uint64_t>{6, 5, 4}));
+    EXPECT_EQ(queue.size(), 3U) << "up to four prioritized calls stay";
+    EXPECT_TRUE(queue.trim(3).empty());
+    EXPECT_EQ(queue.bound(), 64U) << "not changed";
+}
+
 TEST(admission_queue, higher_class_evicts_lower)
 {
     admission_queue queue(100ms, 4);
