--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -688,8 +688,8 @@
 
 // The limit is not divided by the slow-down factor: calls that take longer are
 // in progress for longer, so the ratio of the two already shows the lost
-// capacity. Divided as well, admission at the entry refused 5 % of the requests
-// at 80 % of the capacity of servers that share their machines.
+// capacity. Divided as well, 5 % fewer of the requests completed at 80 % of the
+// capacity of servers that share their machines.
 upstream_load guard::load(time_point now) const
 {
     upstream_load result{
