--- a/include/jujubespan/mesh/allowance_spender.hpp
+++ b/include/jujubespan/mesh/allowance_spender.hpp
@@ -111,7 +111,8 @@
         std::optional<time_point> exhausted_at; // Reported by the authority.
         time_point next_token_at{};
         time_point promised_until{}; // Latest Retry-After.
-        double own_tokens{0};        // Without an authority.
+        double own_tokens{0};        // Without an authority that grants tokens.
+        bool unknown_to_authority{false};
         time_point own_filled_at{};
     };
 
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -87,6 +87,10 @@
         retry_budget_.apply(options);
     }
 
+    /// @brief Sets whether requests need keys. If so, the headers of the key
+    /// and of the organisation that a sender passed on are removed.
+    void set_keys_required(bool required) { keys_required_ = required; }
+
     /// @brief Marks all later replies as sent by a node that is stopping.
     /// Calls are still admitted.
     void begin_drain() { leaving_ = true; }
@@ -183,6 +187,7 @@
     /// Slots of the backend server as listed by discovery; zero: not known.
     std::uint32_t published_slots_{0};
     bool leaving_{false};
+    bool keys_required_{false};
     bool stopped_admitting_{false};
     server_announcement announcement_; // of the latest readable response
     announced_limit rate_limit_;
--- a/src/jujubespan/engine/admission_gate.cpp
+++ b/src/jujubespan/engine/admission_gate.cpp
@@ -68,8 +68,10 @@
     }
     const double starts =
         std::ceil(limit(now) * seconds(queue_wait_) / seconds(run_time));
-    return queue_.trim(static_cast<std::size_t>(
+    auto removed = queue_.trim(static_cast<std::size_t>(
         std::min(starts, static_cast<double>(max_queue_))));
+    sample_.dropped += static_cast<std::uint32_t>(removed.size());
+    return removed;
 }
 
 void admission_gate::accumulate_busy_time(time_point now)
--- a/src/jujubespan/mesh/allowance_authority.cpp
+++ b/src/jujubespan/mesh/allowance_authority.cpp
@@ -57,6 +57,10 @@
         }
     }
     buckets_ = std::move(buckets);
+    if (buckets_.empty())
+    {
+        members_ = {}; // Instance lists are not passed on without a limit.
+    }
 }
 
 // Half of what the bound permits beyond rate and burst. The other half covers
--- a/src/jujubespan/mesh/allowance_spender.cpp
+++ b/src/jujubespan/mesh/allowance_spender.cpp
@@ -82,6 +82,13 @@
         }
     }
     accounts_ = std::move(accounts);
+    if (accounts_.empty())
+    {
+        // Instance lists are not passed on without a limit.
+        members_ = {};
+        candidates_.clear();
+        active_.clear();
+    }
 }
 
 void allowance_spender::apply(const instance_directory& list, time_point now)
@@ -95,8 +102,16 @@
         next.push_back(
             known != nullptr ? *known : candidate{std::move(address), now, {}});
     }
+    const bool had_candidates = !candidates_.empty();
     candidates_ = std::move(next);
-    if (!candidates_.empty() && find_candidate(active_) == nullptr)
+    if (candidates_.empty())
+    {
+        use_authority("", now);
+        return;
+    }
+    // While no authority answers, a change of the list alone selects none.
+    const bool is_isolated = had_candidates && active_.empty();
+    if (!is_isolated && find_candidate(active_) == nullptr)
     {
         use_authority(candidates_.front().address, now);
     }
@@ -147,7 +162,8 @@
     expire(item, now);
     if (held(item) < one_token)
     {
-        return active_.empty() && take_own(item, now);
+        return (active_.empty() || item.unknown_to_authority) &&
+               take_own(item, now);
     }
     double missing = 1;
     for (auto& part : item.lots)
@@ -508,8 +524,12 @@
         const auto found = shares.find(item.hash);
         if (found == shares.end())
         {
+            // Asked for, but the authority's configuration has no limit yet.
+            item.unknown_to_authority =
+                item.unknown_to_authority || item.waiting > 0;
             continue;
         }
+        item.unknown_to_authority = false;
         const auto& share = *found->second;
         decay_rates(item, now);
         if (share.tokens > 0)
--- a/src/jujubespan/mesh/allowance_spender_test.cpp
+++ b/src/jujubespan/mesh/allowance_spender_test.cpp
@@ -105,6 +105,39 @@
     EXPECT_EQ(target.spend(sender, now), spend_result::wait);
 }
 
+// Otherwise a new organisation is refused until the authority has the
+// configuration that names it.
+TEST_F(allowance_spender_test,
+       spends_own_share_if_the_authority_lacks_the_limit)
+{
+    EXPECT_EQ(target.spend(sender, now), spend_result::wait);
+    const auto asked = requests();
+    ASSERT_EQ(asked.size(), 1U);
+    target.on_grant(asked[0].peer, {asked[0].request.sequence, {}}, now);
+    now += 120ms; // at a tenth of 100 requests per second
+    EXPECT_TRUE(target.spend_for_waiting("shop", now));
+    int spent = 0;
+    for (const auto until = now + 1s; now < until; now += 20ms)
+    {
+        spent += target.spend(sender, now) == spend_result::spent ? 1 : 0;
+    }
+    EXPECT_NEAR(spent, 10, 1);
+}
+
+// Lists change often while instances restart; each change started a new wait
+// for an authority that does not answer.
+TEST_F(allowance_spender_test, list_change_does_not_end_isolation)
+{
+    requests();
+    pass(3s);
+    ASSERT_TRUE(target.authority().empty());
+    target.apply(list, now);
+    EXPECT_TRUE(target.authority().empty());
+    list = {};
+    target.apply(list, now);
+    EXPECT_TRUE(target.authority().empty());
+}
+
 TEST_F(allowance_spender_test, unused_tokens_expire)
 {
     grant(requests().at(0), 5);
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -39,6 +39,12 @@
 constexpr duration stale_configuration_retry_delay =
     std::chrono::milliseconds(250);
 
+bool is_key_header(const http_header& header, const header_names& names)
+{
+    return same_header_name(header.name, names.key) ||
+           same_header_name(header.name, names.organisation);
+}
+
 bool has_header(std::span<const http_header> headers, std::string_view name)
 {
     return std::any_of(headers.begin(), headers.end(),
@@ -147,14 +153,15 @@
     call.message.request = engine::to_backend_request(std::move(request));
     // The request id, the deadline and the organisation are fields of the call.
     // The key must not leave this node.
-    std::erase_if(call.message.request.headers,
-                  [&names = options_.names](const http_header& header)
-                  {
-                      return same_header_name(header.name, names.request_id) ||
-                             same_header_name(header.name, names.deadline) ||
-                             same_header_name(header.name, names.key) ||
-                             same_header_name(header.name, names.organisation);
-                  });
+    std::erase_if(
+        call.message.request.headers,
+        [&names = options_.names,
+         keyed = organisations_->keys_required()](const http_header& header)
+        {
+            return same_header_name(header.name, names.request_id) ||
+                   same_header_name(header.name, names.deadline) ||
+                   (keyed && is_key_header(header, names));
+        });
     if (auto refused = refuse_suspect(call, now))
     {
         refuse_request(call, *refused);
--- a/src/jujubespan/mesh/egress_allowance.cpp
+++ b/src/jujubespan/mesh/egress_allowance.cpp
@@ -67,7 +67,9 @@
         [&](auto& entry)
         {
             auto& call = entry.second.call;
-            if (!allowances_->spend_for_waiting(call.sender->name, now))
+            // One that has waited too long, after a pause, is refused.
+            if (now >= entry.second.until ||
+                !allowances_->spend_for_waiting(call.sender->name, now))
             {
                 return false;
             }
--- a/src/jujubespan/mesh/egress_completion.cpp
+++ b/src/jujubespan/mesh/egress_completion.cpp
@@ -152,13 +152,15 @@
     {
         log(log_level::info, "request_refused",
             "request={} route={} fingerprint={} version={} outcome={} "
-            "reason={}",
+            "reason={}{}{}",
             call.message.request_id,
             call.matched_route == nullptr ? std::string("-")
                                           : call.matched_route->name,
             call.fingerprint ? to_text(*call.fingerprint) : "-",
             configuration_version(), to_string(answer.result),
-            to_string(answer.reason));
+            to_string(answer.reason),
+            call.message.organisation.empty() ? "" : " organisation=",
+            call.message.organisation);
     }
     send_response(call, answer);
 }
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -252,9 +252,10 @@
         {
             return same_header_name(header.name, names.deadline) ||
                    same_header_name(header.name, names.caller_service) ||
-                   same_header_name(header.name, names.organisation) ||
-                   same_header_name(header.name, names.key) ||
-                   same_header_name(header.name, names.expected_instance);
+                   same_header_name(header.name, names.expected_instance) ||
+                   (keys_required_ &&
+                    (same_header_name(header.name, names.organisation) ||
+                     same_header_name(header.name, names.key)));
         });
     request.headers.push_back({names.request_id, message.request_id});
     request.headers.push_back(
@@ -412,7 +413,7 @@
     }
     for (const auto id : gate_.trim_queue(speed_.expected_run_time(now), now))
     {
-        refuse_call(id, reason::queue_full, now);
+        refuse_call(id, full_queue_reason(now), now);
     }
 }
 
@@ -604,7 +605,8 @@
         reply.residence_time = now - call.received_at;
         if (answered)
         {
-            if (speed_.is_known(now))
+            if (speed_.is_known(now) &&
+                is_success(reply.answer.response.status))
             {
                 speed_.on_run(call.message.route, now - call.started_at, now);
             }
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -143,6 +143,7 @@
 // A node of an earlier version may have forwarded a client's headers.
 TEST_F(guard_test, backend_server_gets_the_organisation_and_no_key)
 {
+    target.set_keys_required(true);
     organisation = "big";
     call(1);
     organisation.clear();
@@ -163,6 +164,15 @@
     EXPECT_EQ(shared.running.find_parent("id-2.x")->organisation, "");
 }
 
+// Without organisations the headers may have a meaning for the servers.
+TEST_F(guard_test, key_headers_are_forwarded_where_no_keys_are_required)
+{
+    call(1);
+    const auto& headers = backend.requests.at(1).headers;
+    EXPECT_FALSE(find_header(headers, names.key).empty());
+    EXPECT_EQ(find_header(headers, names.organisation), "forged");
+}
+
 TEST_F(guard_test, signed_response_is_forwarded)
 {
     call(1);
--- a/src/jujubespan/mesh/server_load.cpp
+++ b/src/jujubespan/mesh/server_load.cpp
@@ -37,8 +37,9 @@
 constexpr duration plain_mean_time = std::chrono::seconds(5);
 constexpr double recent_averaging_seconds = 0.3;
 constexpr double min_runs_averaged = 5; // A single run says little.
-// A run counts in the usual run time with at most this multiple of it, so that
-// an incident of several seconds hardly changes what is usual.
+// A run counts in the usual run time with at most this multiple of it, and at
+// least its inverse, so that an incident of several seconds or a run that ends
+// early hardly changes what is usual.
 constexpr double max_counted_ratio = 2;
 constexpr std::size_t max_routes = 512;
 
@@ -121,10 +122,14 @@
                           time_point now)
 {
     const double value = seconds(run_time);
+    if (value <= 0)
+    {
+        return;
+    }
     auto found = usual_.find(route);
     if (found == usual_.end())
     {
-        if (usual_.size() >= max_routes || value <= 0)
+        if (usual_.size() >= max_routes)
         {
             return;
         }
@@ -141,7 +146,9 @@
                               : std::min(1.0, seconds(now - usual.updated_at) /
                                                   usual_averaging_seconds);
     usual.run_time +=
-        weight * (std::min(ratio, max_counted_ratio) - 1) * usual.run_time;
+        weight *
+        (std::clamp(ratio, 1 / max_counted_ratio, max_counted_ratio) - 1) *
+        usual.run_time;
     usual.updated_at = now;
 
     const double recent_weight =
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -74,6 +74,9 @@
            current.queue_wait != candidate.queue_wait ||
            current.revocation.strict != candidate.revocation.strict ||
            current.revocation.bound != candidate.revocation.bound ||
+           current.allowance.window != candidate.allowance.window ||
+           current.allowance.tolerance != candidate.allowance.tolerance ||
+           current.allowance.slack != candidate.allowance.slack ||
            current.stop_grace != candidate.stop_grace ||
            current.max_buffered_bytes != candidate.max_buffered_bytes ||
            current.max_connections != candidate.max_connections;
@@ -269,6 +272,8 @@
     {
         on_restored();
     }
+    // An older state than the own one shows nothing about its present validity.
+    const bool is_current = update.changes.revision >= source_->revision();
     const auto result = source_->apply(update.changes);
     if (result == delta_result::gap)
     {
@@ -282,7 +287,7 @@
     {
         sharing_.on_update(update.changes.revision, update.age,
                            boot_clock::now());
-        if (update.confirmed_at)
+        if (update.confirmed_at && is_current)
         {
             confirm(update.changes.revision, *update.confirmed_at);
         }
@@ -300,6 +305,10 @@
     {
         return;
     }
+    if (!source_->has_latest_configuration())
+    {
+        update.confirmed_at.reset();
+    }
     if (!keys_required_)
     {
         update.confirmed_at.reset();
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -193,6 +193,7 @@
     client_server_.set_limits(
         make_client_limits(options_, configuration_->clients));
     egress_.apply(configuration_);
+    guard_.set_keys_required(configuration_->organisations.has_value());
     apply_allowances();
     for (const auto& service : configuration_->services)
     {
