Order requests of equal organisations by the priority of their route

The organisation now decides first and the route among its requests: two of the four classes for each priority. The test of the old rule is replaced by one of four ordered pairs.

--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -77,6 +77,20 @@
     return all_request_classes[index];
 }
 
+// The priority of the organisation decides first, and that of the route among
+// requests of equal organisations: each priority of organisations has two
+// classes, the lower one for routes whose requests are refused first. There are
+// not enough classes to tell organisations below priority one apart.
+request_class class_of_priorities(std::uint32_t organisation_priority,
+                                  std::uint32_t route_priority)
+{
+    constexpr std::uint32_t first_sheddable = 2; // of the routes
+    constexpr std::uint32_t lowest = 1;          // of the organisations
+    const auto pair = std::min(organisation_priority, lowest);
+    return class_of_priority(2 * pair +
+                             (route_priority >= first_sheddable ? 1 : 0));
+}
+
 std::optional<duration> parse_milliseconds(std::string_view text)
 {
     std::uint64_t value = 0;
@@ -265,8 +279,11 @@
         call.sender == nullptr
             ? call.matched_route->priority
             : call.sender->priority.value_or(call.matched_route->priority);
-    message.key =
-        make_shed_key(class_of_priority(priority), message.request_id, 1);
+    const auto cls = call.sender != nullptr && call.sender->priority
+                         ? class_of_priorities(*call.sender->priority,
+                                               call.matched_route->priority)
+                         : class_of_priority(call.matched_route->priority);
+    message.key = make_shed_key(cls, message.request_id, 1);
     const auto objective = call.matched_route->objective;
     message.prioritized =
         objective > duration::zero() && objective <= max_prioritized_objective;
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -539,7 +539,8 @@
         auto next = std::make_shared<configuration>();
         next->version = ++version;
         next->routes = {make_route("read", "/read/", true),
-                        make_route("open", "/open/", true)};
+                        make_route("open", "/open/", true),
+                        make_route("urgent", "/urgent/", true)};
         next->routes[0].priority = 2;
         next->routes[1].anonymous = true;
         next->organisations = std::move(organisations);
@@ -660,12 +661,22 @@
     EXPECT_EQ(status(2), 401U);
 }
 
+// Of requests of equal organisations, those on a route that matters less are
+// refused first.
 TEST_F(egress_organisations, priority_of_the_organisation_precedes_the_routes)
 {
-    send(1, {key("key-of-big")});
-    send(2, {key("key-of-small")});
-    EXPECT_EQ(class_of(peers.calls.at(0).key), all_request_classes[0]);
-    EXPECT_EQ(class_of(peers.calls.at(1).key), all_request_classes[2]);
+    const organisation ordinary{"ordinary", {"key-of-ordinary"}, 1U, {}};
+    configure({big, small, ordinary});
+    send(1, {key("key-of-big")}, "/urgent/1");
+    send(2, {key("key-of-big")}); // on a route of priority 2
+    send(3, {key("key-of-ordinary")}, "/urgent/1");
+    send(4, {key("key-of-ordinary")});
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        EXPECT_EQ(class_of(peers.calls.at(i).key), all_request_classes[i]);
+    }
+    send(5, {key("key-of-small")}); // has no priority of its own
+    EXPECT_EQ(class_of(peers.calls.at(4).key), all_request_classes[2]);
 }
 
 TEST_F(egress_organisations,
