Names that a newcomer would stumble over; remove an unused look-up

Found by a review: retries that are delayed, not promised; a share that is equal, not own; a function that changes state and had the name of a question. The look-up of organisations by name had no user but its test, whose case for keys stays.

--- a/include/jujubespan/mesh/allowance_authority.hpp
+++ b/include/jujubespan/mesh/allowance_authority.hpp
@@ -64,7 +64,7 @@
         mesh::allowance allowance;
         double tokens{0};
         double outstanding{0}; // Upper bound of the tokens held by nodes.
-        // Values of the sums below up to which the bucket has been filled.
+        // Values of `contributed_` and `joined_` up to which it was filled.
         double contributed{0};
         double joined{0};
     };
--- a/include/jujubespan/mesh/allowance_spender.hpp
+++ b/include/jujubespan/mesh/allowance_spender.hpp
@@ -110,8 +110,8 @@
         time_point measured_at{};
         std::optional<time_point> exhausted_at; // Reported by the authority.
         time_point next_token_at{};
-        time_point promised_until{}; // Latest Retry-After.
-        double own_tokens{0};        // Without an authority that grants tokens.
+        time_point retry_after_until{}; // Latest Retry-After.
+        double own_tokens{0}; // Without an authority that grants tokens.
         bool unknown_to_authority{false};
         time_point own_filled_at{};
     };
@@ -135,13 +135,13 @@
     static void expire(account& item, time_point now);
     static void decay_rates(account& item, time_point now);
     bool take(account& item, time_point now);
-    bool take_own(account& item, time_point now);
-    void promise(account& item, time_point now) const;
+    bool take_equal_share(account& item, time_point now);
+    void delay_retry(account& item, time_point now) const;
     void select_authority(time_point now);
     void log_authority();
     void use_authority(std::string address, time_point now);
     std::optional<outgoing_allowance_request> next_probe(time_point now);
-    [[nodiscard]] bool is_silent(duration limit, time_point now) const;
+    [[nodiscard]] bool unanswered_for(duration limit, time_point now) const;
     [[nodiscard]] bool is_settling(time_point now) const;
     [[nodiscard]] bool is_request_due(time_point now) const;
     [[nodiscard]] duration request_interval() const;
--- a/include/jujubespan/mesh/discovery_sharing.hpp
+++ b/include/jujubespan/mesh/discovery_sharing.hpp
@@ -24,8 +24,8 @@
     duration age{}; ///< Time since the source last answered the sender.
     /// Every change that the source acknowledged before this time, in the clock
     /// of this node, is contained in the revision of the update. Absent if not
-    /// known. Older than `age`, which does not count the time that the source
-    /// held the call.
+    /// known. Usually further back than `age` says, since that does not count
+    /// the time for which the source held the call.
     std::optional<time_point> confirmed_at;
 };
 
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -157,7 +157,8 @@
     std::optional<engine::answer> identify_sender(const http_request& request,
                                                   time_point now,
                                                   open_call& call);
-    bool is_configuration_stale(time_point now);
+    // Whether requests with keys are refused, which is logged when it changes.
+    bool update_staleness(time_point now);
     void set_deadline(const http_request& request, time_point now,
                       open_call& call);
     bool send_attempt(open_call& call, time_point now);
@@ -217,7 +218,7 @@
     allowance_spender* allowances_{nullptr};
     std::map<std::uint64_t, waiting_request> waiting_; // in order of arrival
     std::uint64_t next_waiting_{1};
-    // By exchange.
+    // Keys in `waiting_`, by exchange.
     absl::flat_hash_map<std::uint64_t, std::uint64_t> waiting_ids_;
     string_map<time_point> allowance_logged_at_; // by organisation
     absl::flat_hash_map<std::uint64_t, std::uint64_t> call_ids_;
--- a/include/jujubespan/mesh/organisation_table.hpp
+++ b/include/jujubespan/mesh/organisation_table.hpp
@@ -30,15 +30,9 @@
     /// configuration.
     [[nodiscard]] const organisation* find_by_key(std::string_view key) const;
 
-    /// @return null when there is none with this name.
-    [[nodiscard]] const organisation* find_by_name(std::string_view name) const;
-
 private:
-    using index = absl::flat_hash_map<std::string_view, const organisation*>;
-
     std::shared_ptr<const configuration> source_; // owns keys and values
-    index by_key_;
-    index by_name_;
+    absl::flat_hash_map<std::string_view, const organisation*> by_key_;
 };
 
 /// @brief Short hash of a key, by which logs tell keys apart without showing
--- a/src/jujubespan/mesh/allowance_spender.cpp
+++ b/src/jujubespan/mesh/allowance_spender.cpp
@@ -163,7 +163,7 @@
     if (held(item) < one_token)
     {
         return (active_.empty() || item.unknown_to_authority) &&
-               take_own(item, now);
+               take_equal_share(item, now);
     }
     double missing = 1;
     for (auto& part : item.lots)
@@ -175,7 +175,7 @@
     return true;
 }
 
-bool allowance_spender::take_own(account& item, time_point now)
+bool allowance_spender::take_equal_share(account& item, time_point now)
 {
     if (node_count_ == 0)
     {
@@ -215,7 +215,7 @@
                            now - *item->exhausted_at < exhausted_lifetime;
     if (isolated || exhausted)
     {
-        promise(*item, now);
+        delay_retry(*item, now);
         return spend_result::refused;
     }
     ++item->waiting;
@@ -253,19 +253,20 @@
     cancel_wait(name);
     if (auto* item = find(name))
     {
-        promise(*item, now);
+        delay_retry(*item, now);
     }
 }
 
 // The callers that are refused share the rate at which this node gets tokens.
-void allowance_spender::promise(account& item, time_point now) const
+void allowance_spender::delay_retry(account& item, time_point now) const
 {
     decay_rates(item, now);
     const auto nodes = std::max<std::size_t>(node_count_, 1);
     const double rate = std::max(
         item.granted_rate, item.allowance.rate / static_cast<double>(nodes));
-    const auto from = std::max({item.promised_until, item.next_token_at, now});
-    item.promised_until =
+    const auto from =
+        std::max({item.retry_after_until, item.next_token_at, now});
+    item.retry_after_until =
         std::min(from + std::min(from_seconds(1 / rate), max_retry_after),
                  now + max_retry_after);
 }
@@ -278,7 +279,7 @@
     {
         return min_retry_after;
     }
-    return std::max(found->second.promised_until - now, min_retry_after);
+    return std::max(found->second.retry_after_until - now, min_retry_after);
 }
 
 void allowance_spender::refund(std::string_view name, time_point now)
@@ -289,7 +290,7 @@
     }
 }
 
-bool allowance_spender::is_silent(duration limit, time_point now) const
+bool allowance_spender::unanswered_for(duration limit, time_point now) const
 {
     return unanswered_since_ && now - *unanswered_since_ >= limit;
 }
@@ -343,7 +344,7 @@
         unanswered_since_ = now;
     }
     last_check_ = now;
-    const bool lost = active_.empty() || is_silent(authority_timeout, now);
+    const bool lost = active_.empty() || unanswered_for(authority_timeout, now);
     for (const auto& item : candidates_)
     {
         if (item.address == active_)
@@ -370,7 +371,7 @@
 allowance_spender::next_probe(time_point now)
 {
     const bool suspicious =
-        active_.empty() || disconnected_ || is_silent(suspicion_time, now);
+        active_.empty() || disconnected_ || unanswered_for(suspicion_time, now);
     for (auto& item : candidates_)
     {
         if (item.address == active_)
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -312,11 +312,11 @@
 void egress::confirm_configuration(time_point as_of, time_point now)
 {
     age_.on_confirmed(as_of);
-    is_configuration_stale(now);
+    update_staleness(now);
 }
 
 // Also called without a request, to log the time of a change.
-bool egress::is_configuration_stale(time_point now)
+bool egress::update_staleness(time_point now)
 {
     if (!options_.max_configuration_age || !organisations_ ||
         !organisations_->keys_required())
@@ -346,7 +346,7 @@
         return std::nullopt;
     }
     // Before the key: an old configuration can neither accept nor reject it.
-    if (is_configuration_stale(now))
+    if (update_staleness(now))
     {
         auto refusal = engine::make_refusal(reason::stale_configuration);
         refusal.retry_after = stale_configuration_retry_delay;
--- a/src/jujubespan/mesh/egress_completion.cpp
+++ b/src/jujubespan/mesh/egress_completion.cpp
@@ -106,7 +106,7 @@
         update_pressures(now);
     }
     shared_.admission.on_tick(now);
-    is_configuration_stale(now);
+    update_staleness(now);
 }
 
 bool egress::retries_suspended(std::string_view service, time_point now) const
--- a/src/jujubespan/mesh/organisation_table.cpp
+++ b/src/jujubespan/mesh/organisation_table.cpp
@@ -12,14 +12,6 @@
 
 constexpr unsigned digest_shift_bits = 32;
 
-const organisation*
-find_in(const absl::flat_hash_map<std::string_view, const organisation*>& index,
-        std::string_view text)
-{
-    const auto found = index.find(text);
-    return found == index.end() ? nullptr : found->second;
-}
-
 } // namespace
 
 organisation_table::organisation_table(
@@ -32,7 +24,6 @@
     }
     for (const auto& item : *source_->organisations)
     {
-        by_name_.try_emplace(item.name, &item);
         for (const auto& key : item.keys)
         {
             by_key_.try_emplace(key, &item);
@@ -43,13 +34,8 @@
 const organisation* organisation_table::find_by_key(std::string_view key) const
 {
     // A missing header reads as an empty key, which nobody may hold.
-    return key.empty() ? nullptr : find_in(by_key_, key);
-}
-
-const organisation*
-organisation_table::find_by_name(std::string_view name) const
-{
-    return find_in(by_name_, name);
+    const auto found = key.empty() ? by_key_.end() : by_key_.find(key);
+    return found == by_key_.end() ? nullptr : found->second;
 }
 
 std::string key_digest(std::string_view key)
--- a/src/jujubespan/mesh/organisation_table_test.cpp
+++ b/src/jujubespan/mesh/organisation_table_test.cpp
@@ -16,15 +16,14 @@
     return organisation_table(std::move(source));
 }
 
-TEST(organisation_table, finds_organisations_by_key_and_name)
+TEST(organisation_table, finds_organisations_by_key)
 {
     const auto table = make_table(
         {{{"first", {"k1", "k2"}, 1, {}}, {"second", {"k3"}, {}, {}}}});
     EXPECT_TRUE(table.keys_required());
     EXPECT_EQ(table.find_by_key("k2")->name, "first");
-    EXPECT_EQ(table.find_by_name("second")->keys.front(), "k3");
+    EXPECT_EQ(table.find_by_key("k3")->name, "second");
     EXPECT_EQ(table.find_by_key("first"), nullptr);
-    EXPECT_EQ(table.find_by_name("k1"), nullptr);
 }
 
 TEST(organisation_table, key_listed_twice_belongs_to_the_first)
--- a/src/jujubespan/mesh/server_load.cpp
+++ b/src/jujubespan/mesh/server_load.cpp
@@ -34,7 +34,7 @@
 constexpr double usual_averaging_seconds = 30;
 // The first runs of a route are averaged with equal weight for this time, so
 // that a slow phase of its start is soon outweighed.
-constexpr duration plain_mean_time = std::chrono::seconds(5);
+constexpr duration initial_averaging_time = std::chrono::seconds(5);
 constexpr double recent_averaging_seconds = 0.3;
 constexpr double min_runs_averaged = 5; // A single run says little.
 // A run counts in the usual run time with at most this multiple of it, and at
@@ -140,7 +140,7 @@
     auto& usual = found->second;
     const double ratio = value / usual.run_time;
     usual.runs += 1;
-    const bool starting = now - usual.first_run_at < plain_mean_time;
+    const bool starting = now - usual.first_run_at < initial_averaging_time;
     const double weight = starting
                               ? 1 / usual.runs
                               : std::min(1.0, seconds(now - usual.updated_at) /
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -23,7 +23,7 @@
 constexpr double max_allowance_number = 1e7; // tokens or requests per second
 constexpr std::uint32_t max_next_token_ms = 60'000;
 
-std::uint32_t age_ms(duration age)
+std::uint32_t clamped_ms(duration age)
 {
     return static_cast<std::uint32_t>(std::clamp<long long>(
         milliseconds(age), 0, std::numeric_limits<std::uint32_t>::max()));
@@ -444,14 +444,14 @@
     {
         auto* added = out.add_ends();
         added->set_id(end.id);
-        added->set_age_ms(age_ms(end.age));
+        added->set_age_ms(clamped_ms(end.age));
         added->mutable_running()->Add(end.running.begin(), end.running.end());
     }
     for (const auto& item : report.completions)
     {
         auto* added = out.add_completions();
         added->set_request(item.request);
-        added->set_age_ms(age_ms(item.age));
+        added->set_age_ms(clamped_ms(item.age));
     }
 }
 
@@ -527,7 +527,7 @@
         added->set_tokens(static_cast<float>(item.tokens));
         const auto wait =
             std::chrono::ceil<std::chrono::milliseconds>(item.next_token);
-        added->set_next_token_ms(age_ms(wait));
+        added->set_next_token_ms(clamped_ms(wait));
     }
 }
 
