Bind what is known of a node to its process, and prefer instead of exclude

Cause: a node that announced its stop was left out for 8 s by all callers, and none of them noticed its next process; an unreachable one up to 2 s.

Change: the first answer of a node's next process ends what its previous one announced and how it failed; a stopping or unreachable instance is the last choice, not excluded (a backend server that drains stays excluded); a stopping node announces that to other nodes 2 s after it was asked to stop instead of at once.

--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -71,8 +71,16 @@
 
     [[nodiscard]] std::optional<double> rate_limit(std::string_view id) const;
 
-    /// @brief The node of an instance announced that it is stopping.
-    void on_leaving(std::string_view id, time_point now);
+    /// @brief The node of an instance announced that it is stopping. Until its
+    /// next process is seen, the instance is used only if there is no other: a
+    /// stopping node serves calls for some time.
+    void on_node_stopping(std::string_view id, time_point now);
+
+    /// @brief The node of an instance answered. If it has restarted, what its
+    /// previous process announced and how it failed no longer counts.
+    /// @param incarnation of the node's process.
+    /// @return true if it has restarted.
+    bool on_node_seen(std::string_view id, std::uint64_t incarnation);
 
     /// @brief The backend server of an instance announced that it stops. The
     /// instance is not used again in this lifetime.
@@ -101,7 +109,8 @@
         time_point failure_rate_at{};
         unsigned unreachable_count{0};
         time_point avoid_until{};
-        time_point leaving_until{};
+        std::uint64_t node_incarnation{0}; // zero: not seen yet
+        time_point node_stopping_until{};
         time_point next_probe_at{};
         std::optional<double> rate_limit;
         time_point paced_until{}; // Refused a call for its rate limit.
@@ -124,6 +133,8 @@
                            std::mt19937_64& random) const;
     [[nodiscard]] double cost_of(const member& m, double reference_latency,
                                  time_point now) const;
+    /// @brief The members that may be used, without those that are stopping or
+    /// could not be reached recently while there are others.
     [[nodiscard]] std::vector<member*>
     usable_members(std::span<const std::string> exclude, time_point now);
     /// @brief True when an instance has several unanswered calls and has sent
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -19,6 +19,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -77,7 +78,12 @@
     void on_peer_lost(std::string_view peer, time_point now);
 
     /// @brief A node announced that it is stopping.
-    void on_peer_leaving(std::string_view peer, time_point now);
+    void on_peer_stopping(std::string_view peer, time_point now);
+
+    /// @brief A node answered over the connection that this node opened. Such
+    /// connections follow each other, so that another incarnation is that of
+    /// its next process, whatever the clock was when it started.
+    void on_peer_seen(std::string_view peer, std::uint64_t incarnation);
 
     /// @brief Ends requests whose deadline has passed and updates the
     /// admission of new ones; to be called every ten to twenty milliseconds.
@@ -195,6 +201,10 @@
     [[nodiscard]] open_call remove_call(call_map::iterator found);
     void send_response(const open_call& call, const engine::answer& answer);
     [[nodiscard]] balancer& balancer_of(std::string_view service);
+    /// @brief Calls `action` for the instances of a node.
+    void for_each_instance_at(
+        std::string_view peer,
+        const std::function<void(balancer&, std::string_view id)>& action);
 
     egress_options options_;
     mesh_state& shared_;
--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -118,6 +118,7 @@
     void on_tick();
     void apply_allowances();
     void send_allowance_requests(time_point now);
+    void announce_stop(time_point now);
     void check_drain_end(time_point now);
     [[nodiscard]] bool is_ready() const;
 
@@ -137,6 +138,7 @@
     std::shared_ptr<const mesh::configuration> configuration_;
     std::shared_ptr<const mesh::instance_directory> instances_;
     bool leaving_{false};
+    bool stop_announced_{false}; ///< To other nodes.
     std::function<void()> on_drained_;
     time_point drain_started_at_{};
     time_point last_busy_at_{}; ///< During the drain.
--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -32,9 +32,9 @@
 // further failure up to the maximum.
 constexpr duration min_avoidance = std::chrono::milliseconds(200);
 constexpr duration max_avoidance = std::chrono::seconds(2);
-// Time without attempts after an instance's node announced that it is
-// stopping. The node has restarted or left the list by then.
-constexpr duration leaving_lifetime = std::chrono::seconds(8);
+// Longest time for which an instance whose node announced that it is stopping
+// is the last choice. Usually its next process is seen earlier.
+constexpr duration max_stopping_time = std::chrono::seconds(8);
 // Time for which an instance that refused a call for its rate limit is used
 // only if all others are full as well; longer if its limit allows fewer starts.
 constexpr duration min_pacing_time = std::chrono::milliseconds(100);
@@ -107,12 +107,15 @@
     {
         const bool tried = std::find(exclude.begin(), exclude.end(),
                                      m.info.id) != exclude.end();
-        if (!tried && !m.info.leaving && now >= m.leaving_until &&
-            now >= m.avoid_until)
+        if (!tried && !m.info.leaving)
         {
             pool.push_back(&m);
         }
     }
+    prefer_without(pool,
+                   [now](const member& m) { return now < m.avoid_until; });
+    prefer_without(pool, [now](const member& m)
+                   { return now < m.node_stopping_until; });
     return pool;
 }
 
@@ -426,14 +429,29 @@
     return m == nullptr ? std::nullopt : m->rate_limit;
 }
 
-void balancer::on_leaving(std::string_view id, time_point now)
+void balancer::on_node_stopping(std::string_view id, time_point now)
 {
     if (member* m = find(id))
     {
-        m->leaving_until = now + leaving_lifetime;
+        m->node_stopping_until = now + max_stopping_time;
     }
 }
 
+bool balancer::on_node_seen(std::string_view id, std::uint64_t incarnation)
+{
+    member* m = find(id);
+    if (m == nullptr || m->node_incarnation == incarnation)
+    {
+        return false;
+    }
+    const bool restarted = m->node_incarnation != 0;
+    m->node_incarnation = incarnation;
+    m->node_stopping_until = {};
+    m->avoid_until = {};
+    m->unreachable_count = 0;
+    return restarted;
+}
+
 bool balancer::on_backend_leaving(std::string_view id)
 {
     member* m = find(id);
--- a/src/jujubespan/mesh/balancer_test.cpp
+++ b/src/jujubespan/mesh/balancer_test.cpp
@@ -192,6 +192,46 @@
     EXPECT_EQ(send(100)["a"], 0);
 }
 
+TEST_F(balancer_test, instance_of_a_stopping_node_gets_calls_only_as_the_last)
+{
+    target.on_node_stopping("a", now);
+    EXPECT_EQ(send(100)["a"], 0);
+    const std::vector<std::string> tried{"b", "c"};
+    EXPECT_EQ(target.pick(tried, random, now), "a");
+}
+
+TEST_F(balancer_test, restarted_node_is_used_at_once)
+{
+    target.on_node_seen("a", 1);
+    target.on_node_stopping("a", now);
+    target.on_attempt_end("a", attempt_outcome::unreachable, {}, now);
+    EXPECT_FALSE(target.on_node_seen("a", 1));
+    EXPECT_EQ(send(30)["a"], 0) << "still the process that is stopping";
+    EXPECT_TRUE(target.on_node_seen("a", 2));
+    EXPECT_GT(send(30)["a"], 0);
+}
+
+// All nodes of a service were lost a moment ago. Refusing until the avoidance
+// ends would keep the first node that returns idle.
+TEST_F(balancer_test, instances_are_tried_when_all_were_unreachable)
+{
+    for (const auto* id : {"a", "b", "c"})
+    {
+        target.on_attempt_end(id, attempt_outcome::unreachable, {}, now);
+    }
+    EXPECT_NE(target.pick({}, random, now), std::nullopt);
+}
+
+TEST_F(balancer_test, leaving_backend_server_is_not_even_the_last_choice)
+{
+    list[0].leaving = true;
+    target.apply(list, now);
+    target.on_node_stopping("b", now);
+    EXPECT_EQ(send(30)["a"], 0);
+    const std::vector<std::string> tried{"b", "c"};
+    EXPECT_EQ(target.pick(tried, random, now), std::nullopt);
+}
+
 TEST_F(balancer_test, added_instance_gets_calls)
 {
     send(200);
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -483,7 +483,7 @@
     }
     if (reply.answer.leaving)
     {
-        service_balancer.on_leaving(call.instance, now);
+        service_balancer.on_node_stopping(call.instance, now);
     }
     record_leaving(call, reply);
     if (reply.answer.reason == reason::retry_budget)
--- a/src/jujubespan/mesh/egress_completion.cpp
+++ b/src/jujubespan/mesh/egress_completion.cpp
@@ -45,9 +45,10 @@
     }
 }
 
-void egress::on_peer_leaving(std::string_view peer, time_point now)
+void egress::for_each_instance_at(
+    std::string_view peer,
+    const std::function<void(balancer&, std::string_view id)>& action)
 {
-    log(log_level::info, "peer_leaving", "peer={}", peer);
     for (const auto& [id, address] : call_addresses_)
     {
         if (address != peer)
@@ -56,11 +57,31 @@
         }
         for (auto& [service, service_balancer] : balancers_)
         {
-            service_balancer.on_leaving(id, now);
+            action(service_balancer, id);
         }
     }
 }
 
+void egress::on_peer_stopping(std::string_view peer, time_point now)
+{
+    log(log_level::info, "peer_leaving", "peer={}", peer);
+    for_each_instance_at(peer, [now](balancer& service, std::string_view id)
+                         { service.on_node_stopping(id, now); });
+}
+
+void egress::on_peer_seen(std::string_view peer, std::uint64_t incarnation)
+{
+    bool restarted = false;
+    for_each_instance_at(
+        peer, [incarnation, &restarted](balancer& service, std::string_view id)
+        { restarted = service.on_node_seen(id, incarnation) || restarted; });
+    if (restarted)
+    {
+        log(log_level::info, "peer_restarted", "peer={} incarnation={}", peer,
+            incarnation);
+    }
+}
+
 void egress::on_client_disconnected(std::uint64_t exchange, time_point now)
 {
     const auto found = call_ids_.find(exchange);
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -317,6 +317,32 @@
     EXPECT_EQ(status(), 502U);
 }
 
+// Two nodes of a service restart in turn while its third backend server drains.
+// The restarted ones were shunned for seconds, and all requests refused.
+TEST_F(egress_test, service_of_three_loses_two)
+{
+    configure();
+    for (const auto* node : {"node-a", "node-b", "node-c"})
+    {
+        target.on_peer_seen(node, 1);
+    }
+    target.on_peer_stopping("node-a", now);
+    target.on_peer_stopping("node-b", now);
+    auto draining = *directory.find("c");
+    draining.leaving = true;
+    directory.put(draining);
+    target.apply(directory, now);
+    request(1, "/pay/1", "id-1");
+    ASSERT_EQ(peers.calls.size(), 1U) << "stopping nodes still serve calls";
+    EXPECT_NE(peers.calls[0].instance, "c");
+    target.on_peer_seen("node-a", 2);
+    for (std::uint64_t i = 2; i <= 20; ++i)
+    {
+        request(i, "/pay/1", "id-" + std::to_string(i));
+        EXPECT_EQ(peers.calls.back().instance, "a");
+    }
+}
+
 TEST_F(egress_test, idempotent_request_is_retried_once)
 {
     configure();
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -17,6 +17,9 @@
 // balancers remove it only after several failed readiness checks, sent once a
 // second.
 constexpr duration deregistration_time = std::chrono::milliseconds(2800);
+// Until then a draining node takes calls of other nodes as usual: a service of
+// few instances needs each of them, and the calls end before the drain does.
+constexpr duration stop_announcement_delay = std::chrono::milliseconds(2000);
 // The drain ends this long before `stop_grace`, at whose end the process would
 // be killed.
 constexpr duration stop_safety_margin = std::chrono::milliseconds(700);
@@ -278,6 +281,7 @@
     send_allowance_requests(now);
     if (on_drained_)
     {
+        announce_stop(now);
         check_drain_end(now);
     }
 }
@@ -290,13 +294,21 @@
 void mesh_loop::begin_drain(std::function<void()> on_drained)
 {
     leaving_ = true;
-    guard_.begin_drain();
-    peers_.announce_leaving();
     client_server_.announce_close();
     on_drained_ = std::move(on_drained);
     drain_started_at_ = boot_clock::now();
 }
 
+void mesh_loop::announce_stop(time_point now)
+{
+    if (!stop_announced_ && now - drain_started_at_ >= stop_announcement_delay)
+    {
+        stop_announced_ = true;
+        guard_.begin_drain();
+        peers_.announce_leaving();
+    }
+}
+
 void mesh_loop::check_drain_end(time_point now)
 {
     const duration elapsed = now - drain_started_at_;
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -239,7 +239,11 @@
         }
         else if (message.heartbeat().leaving())
         {
-            egress_->on_peer_leaving(message.from(), now);
+            egress_->on_peer_stopping(message.from(), now);
+        }
+        else
+        {
+            egress_->on_peer_seen(message.from(), message.from_incarnation());
         }
         return;
     default:
