--- a/include/jujubespan/config/mesh_settings.hpp
+++ b/include/jujubespan/config/mesh_settings.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESPAN_CONFIG_MESH_SETTINGS_HPP
 
 #include "jujubespan/config/endpoint.hpp"
+#include "jujubespan/policy/mechanism.hpp"
 #include "jujubespan/policy/time.hpp"
 
 #include <absl/status/statusor.h>
@@ -71,6 +72,8 @@
     retry_budget_settings retry_budget;
     revocation_settings revocation;
     allowance_settings allowance;
+    /// All but those of `disabled_mechanisms`, a setting for experiments.
+    mechanism_set mechanisms;
     std::string log_level{"info"};
 };
 
--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -4,6 +4,7 @@
 #include "jujubespan/mesh/attempt_outcome.hpp"
 #include "jujubespan/mesh/entry_admission.hpp"
 #include "jujubespan/policy/instance.hpp"
+#include "jujubespan/policy/mechanism.hpp"
 #include "jujubespan/policy/string_map.hpp"
 #include "jujubespan/policy/time.hpp"
 #include "jujubespan/policy/upstream_set.hpp"
@@ -31,8 +32,8 @@
 {
 public:
     /// @param failure_domain failure domain of this node.
-    explicit balancer(std::string failure_domain)
-        : failure_domain_(std::move(failure_domain))
+    explicit balancer(std::string failure_domain, mechanism_set mechanisms = {})
+        : failure_domain_(std::move(failure_domain)), mechanisms_(mechanisms)
     {
     }
 
@@ -125,9 +126,9 @@
                                                 time_point now);
     /// @brief Slow-down factor; the usual one of the instance if it has not
     /// reported any for a second.
-    [[nodiscard]] static double slowness_of(const member& m, time_point now);
-    [[nodiscard]] static double latency_of(const member& m, time_point now);
-    [[nodiscard]] static double load_of(const member& m, time_point now);
+    [[nodiscard]] double slowness_of(const member& m, time_point now) const;
+    [[nodiscard]] double latency_of(const member& m, time_point now) const;
+    [[nodiscard]] double load_of(const member& m, time_point now) const;
     [[nodiscard]] bool is_local(const member& m) const;
     void sample_candidates(std::vector<member*>& pool,
                            std::mt19937_64& random) const;
@@ -139,14 +140,20 @@
     usable_members(std::span<const std::string> exclude, time_point now);
     /// @brief True when an instance has several unanswered calls and has sent
     /// no reply for too long.
-    [[nodiscard]] static bool is_unresponsive(const member& m, time_point now);
+    [[nodiscard]] bool is_unresponsive(const member& m, time_point now) const;
     /// @brief Removes the outliers from a pool.
     /// @return an outlier that is due for a probe instead; null when none is.
-    static member* probe_or_drop_outliers(std::vector<member*>& pool,
-                                          time_point now);
-    static double best_latency(std::span<member* const> pool, time_point now);
+    member* probe_or_drop_outliers(std::vector<member*>& pool,
+                                   time_point now) const;
+    [[nodiscard]] double best_latency(std::span<member* const> pool,
+                                      time_point now) const;
+    [[nodiscard]] bool enabled(mechanism item) const
+    {
+        return mechanisms_.enabled(item);
+    }
 
     std::string failure_domain_;
+    mechanism_set mechanisms_;
     std::vector<member> members_;
 };
 
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -35,6 +35,7 @@
 /// @brief State that the egress and the guard of a node share.
 struct mesh_state
 {
+    mechanism_set mechanisms;
     running_calls running;
     entry_admission admission;
     mesh_metrics metrics;
--- a/include/jujubespan/mesh/entry_admission.hpp
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -3,6 +3,7 @@
 
 #include "jujubespan/mesh/route_costs.hpp"
 #include "jujubespan/policy/admission_level.hpp"
+#include "jujubespan/policy/mechanism.hpp"
 #include "jujubespan/policy/request_class.hpp"
 #include "jujubespan/policy/string_map.hpp"
 #include "jujubespan/policy/time.hpp"
@@ -65,6 +66,8 @@
 class entry_admission
 {
 public:
+    void set_mechanisms(mechanism_set mechanisms) { mechanisms_ = mechanisms; }
+
     /// @brief Records the pressure of a service.
     void on_pressure(std::string_view service, double pressure, time_point now);
 
@@ -142,10 +145,11 @@
     static sender_demand& find_or_add_sender(route_demand& demand,
                                              request_sender sender);
     static void update_demand(service_state& state);
-    static void allocate(class_demand& demand, double budget);
+    void allocate(class_demand& demand, double budget) const;
     static void allocate_to_senders(route_demand& route);
-    static void update_share(service_state& state, time_point now);
+    void update_share(service_state& state, time_point now) const;
 
+    mechanism_set mechanisms_;
     string_map<service_state> services_;
     string_map<pressure_estimate> downstream_estimates_; // by service
     time_point next_update_{};
--- a/src/jujubespan/config/mesh_settings.cpp
+++ b/src/jujubespan/config/mesh_settings.cpp
@@ -3,6 +3,8 @@
 #include "jujubespan/config/field_readers.hpp"
 #include "jujubespan/config/object_reader.hpp"
 
+#include <fmt/format.h>
+
 namespace jujubespan::config
 {
 
@@ -50,6 +52,26 @@
     return value;
 }
 
+mechanism_set read_mechanisms(object_reader& reader)
+{
+    constexpr std::string_view key = "disabled_mechanisms";
+    mechanism_set value;
+    for (const auto& name : reader.strings_or_empty(key))
+    {
+        const auto item = parse_mechanism(name);
+        if (!item)
+        {
+            reader.add_error(key,
+                             fmt::format("\"{}\" is not a mechanism", name));
+        }
+        else if (!value.disable(*item))
+        {
+            reader.add_error(key, fmt::format("\"{}\" is given twice", name));
+        }
+    }
+    return value;
+}
+
 } // namespace
 
 absl::StatusOr<mesh_settings> parse_mesh_settings(std::string_view text,
@@ -89,6 +111,7 @@
     value.retry_budget = read_retry_budget(reader);
     value.revocation = read_revocation(reader);
     value.allowance = read_allowance(reader);
+    value.mechanisms = read_mechanisms(reader);
     value.log_level = read_log_level(reader);
     reader.report_unknown_keys();
     if (!errors.ok())
--- a/src/jujubespan/config/mesh_settings_test.cpp
+++ b/src/jujubespan/config/mesh_settings_test.cpp
@@ -99,6 +99,40 @@
     EXPECT_NE(text.find("colour"), std::string::npos) << text;
 }
 
+TEST(mesh_settings, disabled_mechanisms_are_known_and_given_once)
+{
+    const auto value = parse_mesh_settings(
+        settings_json(R"("disabled_mechanisms": ["retries", "avoidance"])"),
+        "node.json");
+    ASSERT_TRUE(value.ok()) << value.status();
+    EXPECT_FALSE(value->mechanisms.enabled(mechanism::retries));
+    EXPECT_FALSE(value->mechanisms.enabled(mechanism::avoidance));
+    EXPECT_TRUE(value->mechanisms.enabled(mechanism::entry_admission));
+    for (const auto* names : {R"(["retrys"])", R"(["retries", "retries"])"})
+    {
+        const auto rejected = parse_mesh_settings(
+            settings_json(std::string("\"disabled_mechanisms\": ") + names),
+            "node.json");
+        ASSERT_FALSE(rejected.ok()) << names;
+        const std::string text(rejected.status().message());
+        EXPECT_NE(text.find("node.json:"), std::string::npos) << text;
+        EXPECT_NE(text.find("disabled_mechanisms"), std::string::npos) << text;
+    }
+}
+
+// Guards against names that are out of step with the enumeration.
+TEST(mesh_settings, each_mechanism_has_a_name)
+{
+    for (std::uint8_t i = 0; i < static_cast<std::uint8_t>(mechanism::last);
+         ++i)
+    {
+        const auto item = static_cast<mechanism>(i);
+        EXPECT_EQ(parse_mechanism(to_string(item)), item);
+    }
+    EXPECT_EQ(to_string(mechanism::entry_admission), "entry_admission");
+    EXPECT_EQ(to_string(mechanism::retry_after_jitter), "retry_after_jitter");
+}
+
 TEST(mesh_settings, reports_a_missing_address)
 {
     const auto value = parse_mesh_settings("{\"id\": \"n\"}", "node.json");
--- a/src/jujubespan/mesh/balancer.cpp
+++ b/src/jujubespan/mesh/balancer.cpp
@@ -112,16 +112,18 @@
             pool.push_back(&m);
         }
     }
-    prefer_without(pool,
-                   [now](const member& m) { return now < m.avoid_until; });
+    prefer_without(
+        pool, [this, now](const member& m)
+        { return enabled(mechanism::avoidance) && now < m.avoid_until; });
     prefer_without(pool, [now](const member& m)
                    { return now < m.node_stopping_until; });
     return pool;
 }
 
-bool balancer::is_unresponsive(const member& m, time_point now)
+bool balancer::is_unresponsive(const member& m, time_point now) const
 {
-    if (m.in_flight < min_unanswered_calls)
+    if (m.in_flight < min_unanswered_calls ||
+        !enabled(mechanism::unresponsive_rule))
     {
         return false;
     }
@@ -132,8 +134,12 @@
 }
 
 balancer::member* balancer::probe_or_drop_outliers(std::vector<member*>& pool,
-                                                   time_point now)
+                                                   time_point now) const
 {
+    if (!enabled(mechanism::outlier_exclusion))
+    {
+        return nullptr;
+    }
     double best = 1;
     for (const auto* m : pool)
     {
@@ -153,7 +159,8 @@
     return nullptr;
 }
 
-double balancer::best_latency(std::span<member* const> pool, time_point now)
+double balancer::best_latency(std::span<member* const> pool,
+                              time_point now) const
 {
     double best = 0;
     bool all_known = true;
@@ -176,24 +183,29 @@
                                      seconds(failure_decay_time));
 }
 
-double balancer::slowness_of(const member& m, time_point now)
+double balancer::slowness_of(const member& m, time_point now) const
 {
+    if (!enabled(mechanism::slow_down_factor))
+    {
+        return 1;
+    }
     return m.load.slowness > 0
                ? faded_slowness(m.load.slowness, m.mean_slowness,
                                 now - m.load_at)
                : m.mean_slowness;
 }
 
-double balancer::latency_of(const member& m, time_point now)
+double balancer::latency_of(const member& m, time_point now) const
 {
     return m.latency * slowness_of(m, now);
 }
 
-double balancer::load_of(const member& m, time_point now)
+double balancer::load_of(const member& m, time_point now) const
 {
     double in_use = m.in_flight;
     double slots = std::max(1U, m.info.slots);
-    if (m.load.limit > 0 && now - m.load_at <= load_lifetime)
+    if (m.load.limit > 0 && now - m.load_at <= load_lifetime &&
+        enabled(mechanism::reported_load))
     {
         in_use = std::max<double>(in_use, m.load.in_flight);
         slots = m.load.limit;
@@ -211,16 +223,23 @@
                          time_point now) const
 {
     const double load = load_of(m, now) + 1.0 / std::max(1U, m.info.slots);
-    double latency = m.latency > 0 && reference_latency > 0
+    double latency = m.latency > 0 && reference_latency > 0 &&
+                             enabled(mechanism::latency_cost)
                          ? latency_of(m, now) / reference_latency
                          : 1;
-    latency *= now < m.info.warm_at ? warm_up_latency_factor : 1;
+    latency *= now < m.info.warm_at && enabled(mechanism::warm_up_cost)
+                   ? warm_up_latency_factor
+                   : 1;
     const double domain_penalty =
-        is_local(m) ? 0
-                    : other_domain_cost * std::max(0.0, 1 - load / high_load);
+        is_local(m) || !enabled(mechanism::domain_preference)
+            ? 0
+            : other_domain_cost * std::max(0.0, 1 - load / high_load);
     const double high_load_penalty =
         high_load_cost * std::max(0.0, load - high_load);
-    return (latency + failure_cost * failure_rate_of(m, now)) *
+    const double failures = enabled(mechanism::failure_cost)
+                                ? failure_cost * failure_rate_of(m, now)
+                                : 0;
+    return (latency + failures) *
                (idle_cost + load * load_factor_of(slowness_of(m, now), load)) +
            high_load_penalty + domain_penalty;
 }
@@ -296,8 +315,8 @@
                                           time_point now)
 {
     auto pool = usable_members(exclude, now);
-    prefer_without(pool,
-                   [now](const member& m) { return is_unresponsive(m, now); });
+    prefer_without(pool, [this, now](const member& m)
+                   { return is_unresponsive(m, now); });
     prefer_without(pool,
                    [now](const member& m) { return now < m.paced_until; });
     if (const auto* probed = probe_or_drop_outliers(pool, now))
@@ -388,7 +407,8 @@
     m->failure_rate_at = now;
     if (latency > duration::zero() && outcome == attempt_outcome::success)
     {
-        const bool reported = m->load.slowness > 0 && m->load_at == now;
+        const bool reported = m->load.slowness > 0 && m->load_at == now &&
+                              enabled(mechanism::slow_down_factor);
         const double slowness = reported ? m->load.slowness : 1;
         const double value = seconds(latency) / slowness;
         const double weight = m->latency == 0 ? 1 : latency_weight;
@@ -440,7 +460,8 @@
 bool balancer::on_node_seen(std::string_view id, std::uint64_t incarnation)
 {
     member* m = find(id);
-    if (m == nullptr || m->node_incarnation == incarnation)
+    if (m == nullptr || m->node_incarnation == incarnation ||
+        !enabled(mechanism::restart_detection))
     {
         return false;
     }
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -146,7 +146,9 @@
 
 balancer& egress::balancer_of(std::string_view service)
 {
-    return balancers_.try_emplace(std::string(service), options_.failure_domain)
+    return balancers_
+        .try_emplace(std::string(service), options_.failure_domain,
+                     shared_.mechanisms)
         .first->second;
 }
 
@@ -265,7 +267,8 @@
     {
         message.organisation = parent->organisation;
         message.key = parent->key;
-        message.prioritized = true;
+        message.prioritized =
+            shared_.mechanisms.enabled(mechanism::prioritized_calls);
         message.retry =
             parent->is_retry ? retry_cause::caller : retry_cause::none;
         return std::nullopt;
@@ -283,10 +286,16 @@
                          ? class_of_priorities(*call.sender->priority,
                                                call.matched_route->priority)
                          : class_of_priority(call.matched_route->priority);
-    message.key = make_shed_key(cls, message.request_id, 1);
+    message.key =
+        make_shed_key(shared_.mechanisms.enabled(mechanism::class_order)
+                          ? cls
+                          : all_request_classes.back(),
+                      message.request_id, 1);
     const auto objective = call.matched_route->objective;
     message.prioritized =
-        objective > duration::zero() && objective <= max_prioritized_objective;
+        objective > duration::zero() &&
+        objective <= max_prioritized_objective &&
+        shared_.mechanisms.enabled(mechanism::prioritized_calls);
     const auto sender =
         call.sender == nullptr
             ? request_sender{}
@@ -486,7 +495,8 @@
         service_balancer.on_node_stopping(call.instance, now);
     }
     record_leaving(call, reply);
-    if (reply.answer.reason == reason::retry_budget)
+    if (reply.answer.reason == reason::retry_budget &&
+        shared_.mechanisms.enabled(mechanism::retry_suspension))
     {
         retries_suspended_until_[call.message.service] = now + retry_suspension;
     }
@@ -595,7 +605,8 @@
         ++shared_.metrics.resends;
         return true;
     }
-    if (call.backend_arrivals >= call.matched_route->max_attempts)
+    if (call.backend_arrivals >= call.matched_route->max_attempts ||
+        !shared_.mechanisms.enabled(mechanism::retries))
     {
         return false;
     }
--- a/src/jujubespan/mesh/egress_completion.cpp
+++ b/src/jujubespan/mesh/egress_completion.cpp
@@ -188,7 +188,11 @@
 
 void egress::send_response(const open_call& call, const answer& answer)
 {
-    const double random = std::uniform_real_distribution<double>(0, 1)(random_);
+    constexpr double middle = 0.5;
+    const double random =
+        shared_.mechanisms.enabled(mechanism::retry_after_jitter)
+            ? std::uniform_real_distribution<double>(0, 1)(random_)
+            : middle;
     const auto objective = call.matched_route == nullptr
                                ? duration::zero()
                                : call.matched_route->objective;
--- a/src/jujubespan/mesh/entry_admission.cpp
+++ b/src/jujubespan/mesh/entry_admission.cpp
@@ -108,6 +108,10 @@
     const double position =
         static_cast<double>(key % keys_per_class) / keys_per_class;
     std::optional<admission_refusal> refusal;
+    if (!mechanisms_.enabled(mechanism::entry_admission))
+    {
+        return refusal;
+    }
     for (const auto& cost : costs)
     {
         auto& state = services_[cost.service];
@@ -159,8 +163,22 @@
 
 // Max-min fair allocation: each route gets an equal part of the budget, and
 // what it does not need goes to the routes with more demand.
-void entry_admission::allocate(class_demand& demand, double budget)
+void entry_admission::allocate(class_demand& demand, double budget) const
 {
+    if (!mechanisms_.enabled(mechanism::route_fairness))
+    {
+        double total = 0;
+        for (const auto& item : demand)
+        {
+            total += item.demand;
+        }
+        for (auto& item : demand)
+        {
+            item.share = total > 0 ? std::clamp(budget / total, 0.0, 1.0) : 1;
+            allocate_to_senders(item);
+        }
+        return;
+    }
     std::sort(demand.begin(), demand.end(),
               [](const route_demand& a, const route_demand& b)
               { return a.demand < b.demand; });
@@ -234,7 +252,7 @@
     }
 }
 
-void entry_admission::update_share(service_state& state, time_point now)
+void entry_admission::update_share(service_state& state, time_point now) const
 {
     update_demand(state);
     state.delayed_admitted_share +=
@@ -293,6 +311,10 @@
 entry_admission::downstream_pressures(time_point now) const
 {
     std::vector<service_pressure> result;
+    if (!mechanisms_.enabled(mechanism::reported_pressure))
+    {
+        return result;
+    }
     for (const auto& [service, item] : downstream_estimates_)
     {
         if (item.pressure >= min_reported_pressure &&
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -407,7 +407,8 @@
 // several times longer than intended; other instances may run them sooner.
 void guard::return_late_calls(time_point now)
 {
-    if (gate_.queued() == 0 || speed_.slowness(now) < slow_server)
+    if (gate_.queued() == 0 || speed_.slowness(now) < slow_server ||
+        !shared_.mechanisms.enabled(mechanism::queue_return))
     {
         return;
     }
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -72,6 +72,7 @@
            current.backend_address != candidate.backend_address ||
            current.protection != candidate.protection ||
            current.queue_wait != candidate.queue_wait ||
+           current.mechanisms != candidate.mechanisms ||
            current.revocation.strict != candidate.revocation.strict ||
            current.revocation.bound != candidate.revocation.bound ||
            current.allowance.window != candidate.allowance.window ||
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -118,6 +118,10 @@
     result.names = names;
     result.protection = options.protection;
     result.queue_wait = options.queue_wait;
+    if (!options.mechanisms.enabled(mechanism::guard_queue))
+    {
+        result.max_queue = 0;
+    }
     result.max_body_bytes = options.max_buffered_bytes;
     result.retry_budget = to_retry_budget_options(options.retry_budget);
     result.fleet_starting = options.first_start;
@@ -145,6 +149,8 @@
       readiness_handler_(*this),
       readiness_server_(make_client_limits(options, {}), readiness_handler_)
 {
+    shared_.mechanisms = options.mechanisms;
+    shared_.admission.set_mechanisms(options.mechanisms);
     backend_.bind(guard_);
     peers_.set_receivers(egress_, guard_);
     peers_.set_allowances(allowance_spender_, allowance_authority_);
@@ -301,7 +307,11 @@
 
 void mesh_loop::announce_stop(time_point now)
 {
-    if (!stop_announced_ && now - drain_started_at_ >= stop_announcement_delay)
+    const duration delay =
+        options_.mechanisms.enabled(mechanism::late_stop_announcement)
+            ? stop_announcement_delay
+            : duration::zero();
+    if (!stop_announced_ && now - drain_started_at_ >= delay)
     {
         stop_announced_ = true;
         guard_.begin_drain();
