--- a/include/jujubespan/backend/backend_client.hpp
+++ b/include/jujubespan/backend/backend_client.hpp
@@ -17,7 +17,7 @@
     backend_client(const config::endpoint& address,
                    const http::client_options& options);
 
-    /// @brief Sets the handler that is told how each call ended. Must be
+    /// @brief Sets the handler that is notified how each call ended. Must be
     /// called before `start`.
     void bind(engine::backend_events& handler) { event_handler_ = &handler; }
 
--- a/include/jujubespan/mesh/allowance_members.hpp
+++ b/include/jujubespan/mesh/allowance_members.hpp
@@ -26,7 +26,7 @@
 
     /// @brief Addresses of the nodes that may grant tokens, preferred ones
     /// first: the first-ranked instance of each failure domain, then the second
-    /// of the own domain. The first entry is the fleet authority.
+    /// of the local domain. The first entry is the fleet authority.
     [[nodiscard]] std::vector<std::string>
     authorities(std::string_view own_domain) const;
 
--- a/include/jujubespan/mesh/balancer.hpp
+++ b/include/jujubespan/mesh/balancer.hpp
@@ -24,7 +24,7 @@
 /// @brief Selects an instance of one service for each attempt.
 ///
 /// The cost of an instance grows with its measured latency, its load and its
-/// failure rate. It is lower for instances in the own failure domain while
+/// failure rate. It is lower for instances in this node's failure domain while
 /// these have free slots. The instance with the lowest cost among a few random
 /// candidates is selected, so that nodes with the same view of the loads do
 /// not all select the same instance.
--- a/include/jujubespan/mesh/call.hpp
+++ b/include/jujubespan/mesh/call.hpp
@@ -77,7 +77,7 @@
                          const http_response& response) = 0;
 };
 
-/// @brief Sends calls to the nodes of other instances and to the own guard.
+/// @brief Sends calls to the nodes of other instances and to the local guard.
 class routed_call_port
 {
 public:
--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -46,7 +46,7 @@
 /// @brief Settings of an egress.
 struct egress_options
 {
-    std::string service; ///< Service of the own backend server.
+    std::string service; ///< Service of the local backend server.
     std::string failure_domain;
     header_names names;
     /// Age of the configuration above which requests that need a key are
@@ -54,7 +54,7 @@
     std::optional<duration> max_configuration_age;
 };
 
-/// @brief Routes the requests of clients and of the own backend server to
+/// @brief Routes the requests of clients and of the local backend server to
 /// instances, and responds to each request exactly once.
 ///
 /// Does no I/O and reads no clock. Not thread safe.
@@ -219,7 +219,7 @@
     string_map<balancer> balancers_;
     string_map<std::string> call_addresses_; // by instance id
     string_map<std::uint64_t> incarnations_; // by instance id
-    // Last reply to a call of the own backend server, by service.
+    // Last reply to a call of the local backend server, by service.
     string_map<time_point> last_nested_call_at_;
     string_map<time_point> retries_suspended_until_; // by service
     route_costs costs_;
--- a/include/jujubespan/mesh/entry_admission.hpp
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -71,7 +71,7 @@
     /// @brief Records the pressure of a service.
     void on_pressure(std::string_view service, double pressure, time_point now);
 
-    /// @brief Records the pressure of a service that the own backend server
+    /// @brief Records the pressure of a service that the local backend server
     /// calls, directly or indirectly. It is also reported to callers.
     void on_downstream_pressure(std::string_view service, double pressure,
                                 time_point now);
@@ -92,7 +92,7 @@
     /// @brief Pressures to report to callers, without those too low to react
     /// to.
     ///
-    /// Contains only services that the own backend server calls, directly or
+    /// Contains only services that the local backend server calls, directly or
     /// indirectly: if nodes forwarded all reported pressures, they would keep
     /// each other's outdated values alive.
     [[nodiscard]] std::vector<service_pressure>
--- a/include/jujubespan/mesh/mesh_metrics.hpp
+++ b/include/jujubespan/mesh/mesh_metrics.hpp
@@ -21,7 +21,7 @@
 
     /// Latency of requests, by priority of the route.
     std::map<std::uint32_t, metrics::latency_histogram> latency;
-    /// Time that calls spent at the own backend server.
+    /// Time that calls spent at the local backend server.
     metrics::latency_histogram backend;
     std::array<std::uint64_t, 4> outcomes{}; ///< By `engine::outcome`.
     std::array<std::uint64_t, reason_count> egress_reasons{};
@@ -42,13 +42,13 @@
     /// Tokens that this node granted as authority.
     std::uint64_t allowance_tokens_granted{0};
     std::uint64_t backend_starts{0};
-    /// Ends of the own backend server's process.
+    /// Ends of the local backend server's process.
     std::uint64_t backend_ends{0};
-    /// Requests per second announced by the own backend server.
+    /// Requests per second announced by the local backend server.
     std::optional<double> backend_rate_limit;
-    /// Load headers of the own backend server that could not be parsed.
+    /// Load headers of the local backend server that could not be parsed.
     std::uint64_t ignored_load_headers{0};
-    bool backend_leaving{false}; ///< Announced by the own backend server.
+    bool backend_leaving{false}; ///< Announced by the local backend server.
 };
 
 } // namespace jujubespan::mesh
--- a/include/jujubespan/mesh/running_calls.hpp
+++ b/include/jujubespan/mesh/running_calls.hpp
@@ -13,7 +13,7 @@
 namespace jujubespan::mesh
 {
 
-/// @brief A request that the own backend server runs.
+/// @brief A request that the local backend server runs.
 struct running_call
 {
     shed_key key{0};
@@ -23,7 +23,7 @@
     std::string organisation;        ///< Sender of the request, if known.
 };
 
-/// @brief The requests that the own backend server runs, by request id.
+/// @brief The requests that the local backend server runs, by request id.
 ///
 /// The id of a call made by a running request is usually the id of that
 /// request with a suffix after a dot. A call without a known parent is treated
--- a/include/jujubespan/mesh/server_end_detector.hpp
+++ b/include/jujubespan/mesh/server_end_detector.hpp
@@ -9,8 +9,8 @@
 namespace jujubespan::mesh
 {
 
-/// @brief Tells the end of the own backend server's process from other failures
-/// of exchanges with it.
+/// @brief Distinguishes the end of the local backend server's process from
+/// other failures of exchanges with it.
 ///
 /// A damaged response, a lost answer or a reset connection looks like the end
 /// of the process to a single exchange. Therefore a failed exchange is followed
--- a/include/jujubespan/mesh/transit_time.hpp
+++ b/include/jujubespan/mesh/transit_time.hpp
@@ -15,7 +15,7 @@
 /// the time that they waited in queues of the sender and the receiver.
 ///
 /// The boot clocks of two hosts differ by an unknown amount. The smallest
-/// difference between receipt and sending that was observed stands for a
+/// difference between receipt and sending that was observed counts as a
 /// message without delay; the estimate is the excess over it. It is too small
 /// by the delay of the fastest message, which is why it is given only after
 /// messages have arrived for some time.
--- a/include/jujubespan/node/control_loop.hpp
+++ b/include/jujubespan/node/control_loop.hpp
@@ -107,7 +107,8 @@
     pause_detector pause_detector_;
     QTimer tick_timer_;
     std::vector<std::string> heartbeat_peers_;
-    // Heartbeat peers of the own failure domain, from which rate is borrowed.
+    // Heartbeat peers of this node's failure domain, from which rate is
+    // borrowed.
     std::vector<std::string> lenders_;
     std::vector<std::string> domain_peers_;
     std::size_t next_heartbeat_peer_{0};
--- a/include/jujubespan/policy/control_plane.hpp
+++ b/include/jujubespan/policy/control_plane.hpp
@@ -24,10 +24,10 @@
 
 /// @brief Selects the peers with which a node exchanges heartbeats.
 ///
-/// In the own failure domain these are the instances at distances 1, 2, 4, ...
-/// on a ring ordered by hash. An update then reaches all n nodes of the domain
-/// in log2(n) steps, and each node has log2(n) such peers. One instance in each
-/// of up to `foreign_domains` other domains is added.
+/// In this node's failure domain these are the instances at distances 1, 2, 4,
+/// ... on a ring ordered by hash. An update then reaches all n nodes of the
+/// domain in log2(n) steps, and each node has log2(n) such peers. One instance
+/// in each of up to `foreign_domains` other domains is added.
 std::vector<instance> select_heartbeat_peers(std::string_view self,
                                              std::string_view domain,
                                              std::span<const instance> list,
--- a/include/jujubespan/policy/mechanism.hpp
+++ b/include/jujubespan/policy/mechanism.hpp
@@ -17,7 +17,7 @@
     failure_cost,           ///< Instances that fail cost more.
     avoidance,              ///< Pause after an instance was unreachable.
     unresponsive_rule,      ///< Silent instances are the last choice.
-    domain_preference,      ///< Instances of the own failure domain first.
+    domain_preference,      ///< Instances of this node's failure domain first.
     slow_down_factor,       ///< Use of the reported speed of a server.
     latency_cost,           ///< Instances with a longer latency cost more.
     reported_load,          ///< Use of the load that guards report.
--- a/src/jujubespan/mesh/balancer_test.cpp
+++ b/src/jujubespan/mesh/balancer_test.cpp
@@ -372,7 +372,7 @@
     {
         chosen += target.pick(others, random, now) == "a" ? 1 : 0;
     }
-    EXPECT_GE(chosen, 90) << "idle and in the own failure domain";
+    EXPECT_GE(chosen, 90) << "idle and in this node's failure domain";
 }
 
 // A server may announce a slightly different limit in each response.
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -30,7 +30,7 @@
 // After a guard refused a retry for lack of budget, no retry is sent to its
 // service for this time.
 constexpr duration retry_suspension = std::chrono::milliseconds(100);
-// The own backend server counts as dependent on a service for this time after
+// The local backend server counts as dependent on a service for this time after
 // its last reply.
 constexpr duration dependency_lifetime = std::chrono::seconds(10);
 
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -211,7 +211,7 @@
     shared.running.add("parent", {});
     request(4, "/pay/1");
     request(5, "/read/1", "parent.1");
-    EXPECT_EQ(peers.calls.size(), 3U) << "anonymous, and of the own server";
+    EXPECT_EQ(peers.calls.size(), 3U) << "anonymous, and of the local server";
     target.confirm_configuration(now - 3s, now);
     target.confirm_configuration(now - 5s, now);
     request(6, "/read/1");
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -503,7 +503,7 @@
         gate_.running(), reply.backend_ended);
 }
 
-// Callers are told whether the server has ended, so the reply waits for the
+// The reply states whether the server has ended, so it waits for the
 // probe.
 void guard::on_exchange_failed(call_map::iterator found, time_point now)
 {
--- a/src/jujubespan/mesh/guard_suspicion.cpp
+++ b/src/jujubespan/mesh/guard_suspicion.cpp
@@ -1,5 +1,5 @@
-// Requests under which the own backend server's process has ended: who is
-// suspected, what other nodes are told, and what must not start.
+// Requests under which the local backend server's process has ended: who is
+// suspected, what other nodes are notified of, and what must not start.
 
 #include "jujubespan/mesh/guard.hpp"
 
@@ -23,7 +23,8 @@
 // A server may run a request for this time after it was cancelled.
 constexpr duration cancelled_run_time = std::chrono::milliseconds(250);
 constexpr duration expiry_interval = std::chrono::milliseconds(500);
-// All nodes are told of each completion, so those of a crash are sent together.
+// All nodes are notified of each completion, so those of a crash are sent
+// together.
 constexpr duration completion_report_interval = std::chrono::milliseconds(200);
 // An end is reported again after these times.
 constexpr std::array<duration, 3> report_times{
@@ -60,7 +61,7 @@
     return true;
 }
 
-// A request that the server has completed lately does not end it.
+// A request that the server has completed recently does not end it.
 std::vector<request_fingerprint>
 guard::requests_to_suspect(time_point now) const
 {
--- a/src/jujubespan/mesh/guard_suspicion_test.cpp
+++ b/src/jujubespan/mesh/guard_suspicion_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the guard when the process of its backend server ends: who is
-// suspected, what callers and other nodes are told, and what is held back.
+// suspected, what callers and other nodes are notified of, and what is held
+// back.
 
 #include "jujubespan/mesh/guard.hpp"
 
@@ -234,7 +235,7 @@
 }
 
 // Popular requests are often in progress beside the one that ends the server.
-TEST_F(guard_suspicion_test, lately_completed_request_is_not_suspected)
+TEST_F(guard_suspicion_test, recently_completed_request_is_not_suspected)
 {
     answer(call("/popular"));
     end_server({call("/popular"), call("/poison")});
--- a/src/jujubespan/mesh/server_end_detector_test.cpp
+++ b/src/jujubespan/mesh/server_end_detector_test.cpp
@@ -1,4 +1,5 @@
-// Tests of how the end of a backend server is told from other failures.
+// Tests of how the end of a backend server is distinguished from other
+// failures.
 
 #include "jujubespan/mesh/server_end_detector.hpp"
 
--- a/src/jujubespan/mesh/transit_time_test.cpp
+++ b/src/jujubespan/mesh/transit_time_test.cpp
@@ -44,7 +44,7 @@
 }
 
 // After a cut, all messages that were queued arrive at once. The first one
-// would otherwise stand for a message without delay.
+// would otherwise count as a message without delay.
 TEST_F(transit_time_test, first_messages_are_not_believed)
 {
     for (auto delay = 6s; delay > 0s; delay -= 1s)
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -273,7 +273,7 @@
     {
         on_restored();
     }
-    // An older state than the own one shows nothing about its present validity.
+    // A state older than this node's shows nothing about its present validity.
     const bool is_current = update.changes.revision >= source_->revision();
     const auto result = source_->apply(update.changes);
     if (result == delta_result::gap)
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -66,7 +66,7 @@
         "Requests of clients and the backend server, by reason.",
         counts.egress_reasons);
     add_reason_counters(out, "jujubespan_guard_results_total",
-                        "Calls for the own backend server, by reason.",
+                        "Calls for the local backend server, by reason.",
                         counts.guard_reasons);
     out.begin_family("jujubespan_request_seconds", "histogram",
                      "Latency of requests by priority of their route.");
@@ -78,7 +78,7 @@
             histogram);
     }
     out.begin_family("jujubespan_backend_seconds", "histogram",
-                     "Time that the own backend server took.");
+                     "Time that the local backend server took.");
     out.add_histogram("jujubespan_backend_seconds", "", counts.backend);
 }
 
@@ -117,10 +117,10 @@
                 "Tokens of allowances granted to nodes.",
                 static_cast<double>(counts.allowance_tokens_granted));
     add_counter(out, "jujubespan_backend_starts_total",
-                "Requests sent to the own backend server.",
+                "Requests sent to the local backend server.",
                 static_cast<double>(counts.backend_starts));
     add_counter(out, "jujubespan_backend_ends_total",
-                "Times that the process of the own backend server ended.",
+                "Times that the process of the local backend server ended.",
                 static_cast<double>(counts.backend_ends));
     add_gauge(out, "jujubespan_suspect_requests",
               "Requests that were running when backend servers ended.",
@@ -129,7 +129,7 @@
               "Requests that no node sends to a backend server.",
               static_cast<double>(traffic.quarantined_requests));
     add_counter(out, "jujubespan_backend_connects_total",
-                "Connections opened to the own backend server.",
+                "Connections opened to the local backend server.",
                 static_cast<double>(traffic.backend_connect_attempts));
     add_counter(out, "jujubespan_peer_sent_bytes_total", "Bytes sent to nodes.",
                 static_cast<double>(traffic.peer_counters.sent_bytes));
@@ -148,23 +148,23 @@
     if (counts.backend_rate_limit)
     {
         add_gauge(out, "jujubespan_backend_rate_limit",
-                  "Requests per second announced by the own backend server; "
+                  "Requests per second announced by the local backend server; "
                   "absent without a limit.",
                   *counts.backend_rate_limit);
     }
     if (traffic.guard_load.slowness > 0)
     {
         add_gauge(out, "jujubespan_backend_slowness",
-                  "Execution time of the own backend server relative to the "
+                  "Execution time of the local backend server relative to the "
                   "usual one; absent when it has not stated any for a second.",
                   traffic.guard_load.slowness);
     }
     add_counter(out, "jujubespan_ignored_load_headers_total",
-                "Load headers of the own backend server that could not be "
+                "Load headers of the local backend server that could not be "
                 "parsed.",
                 static_cast<double>(counts.ignored_load_headers));
     add_gauge(out, "jujubespan_backend_leaving",
-              "1 once the own backend server has announced that it stops.",
+              "1 once the local backend server has announced that it stops.",
               counts.backend_leaving ? 1 : 0);
     add_gauge(out, "jujubespan_client_buffered_bytes",
               "Bytes of unanswered requests of clients.",
--- a/src/jujubespan/policy/upstream_set.cpp
+++ b/src/jujubespan/policy/upstream_set.cpp
@@ -74,7 +74,7 @@
                   return std::pair(!own_a, weight(a)) <
                          std::pair(!own_b, weight(b));
               });
-    // At most half of the subset is in the own domain if there are other
+    // At most half of the subset is in the local domain if there are other
     // domains, so that calls can go to those at once when all instances of the
     // own domain are overloaded or gone.
     std::size_t own = 0;
