--- a/bench/lost_requests.py
+++ b/bench/lost_requests.py
@@ -7,8 +7,8 @@
     bench/lost_requests.py LOG [--window 2] [--worst 5] [--worth ROUTE=3 ...]
 
 A request that came back after a refusal counts once for each refusal. Lines
-that the log dropped to bound its volume are counted from their `dropped` field
-and distributed like those that were written.
+that the log left out to bound its volume are counted with the cause of the
+line that reports their number in its `dropped` field.
 """
 
 import argparse
