Announce a stop to other nodes also with a short grace

The announcement came 2 s after SIGTERM; with a stop_grace below 2.7 s, or shorter calls in flight, the node ended without it. It now comes at the latest halfway through the drain. With the grace of 6 s nothing changes. Found by reading; 23 tests of the node package pass.

--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -307,9 +307,11 @@
 
 void mesh_loop::announce_stop(time_point now)
 {
+    // Before the drain ends, also with a short `stop_grace`.
+    const duration latest = (options_.stop_grace - stop_safety_margin) / 2;
     const duration delay =
         options_.mechanisms.enabled(mechanism::late_stop_announcement)
-            ? stop_announcement_delay
+            ? std::min(stop_announcement_delay, latest)
             : duration::zero();
     if (!stop_announced_ && now - drain_started_at_ >= delay)
     {
