--- a/include/jujubespan/mesh/entry_admission.hpp
+++ b/include/jujubespan/mesh/entry_admission.hpp
@@ -66,6 +66,7 @@
 class entry_admission
 {
 public:
+    /// @brief Sets which parts of the decisions are in use; all by default.
     void set_mechanisms(mechanism_set mechanisms) { mechanisms_ = mechanisms; }
 
     /// @brief Records the pressure of a service.
--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -97,7 +97,7 @@
     /// are no longer listed, or whose address or key has changed, are closed.
     void set_peers(std::span<const peer_address> peers);
 
-    /// @brief Sets the discovery revision that all messages carry.
+    /// @brief Sets the digest of the quarantine that all messages carry.
     void set_quarantine_digest(std::uint64_t digest)
     {
         quarantine_digest_ = digest;
