Log and count what a guard charges to its retry budget

The logs could not distinguish the hypotheses of the incident: a guard did not say what it charged, for which reason, or which client requests earned it.

--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -140,6 +140,7 @@
     reason_to_refuse(const routed_call& call, time_point now) const;
     [[nodiscard]] bool spend_retry_budget(const routed_call& call,
                                           time_point now);
+    void log_retry_budget(time_point now);
     void start_call(std::uint64_t id, time_point now);
     void run_queued_calls(time_point now);
     void refuse_call(std::uint64_t id, engine::reason cause, time_point now);
@@ -183,6 +184,8 @@
     routed_reply_port& replies_;
     engine::admission_gate gate_;
     guard_retry_budget retry_budget_;
+    retry_budget_counters logged_budget_; // those of the last log line
+    time_point next_budget_log_{};
     const instance_directory* instances_{nullptr};
     /// Slots of the backend server as listed by discovery; zero: not known.
     std::uint32_t published_slots_{0};
--- a/include/jujubespan/mesh/guard_retry_budget.hpp
+++ b/include/jujubespan/mesh/guard_retry_budget.hpp
@@ -58,6 +58,9 @@
     /// @brief Number of retries that may still be spent.
     [[nodiscard]] double remaining(time_point now);
 
+    /// @brief Number of guards that share the slack.
+    [[nodiscard]] std::size_t guard_count() const { return guard_count_; }
+
 private:
     struct event
     {
--- a/include/jujubespan/mesh/mesh_metrics.hpp
+++ b/include/jujubespan/mesh/mesh_metrics.hpp
@@ -13,6 +13,18 @@
 namespace jujubespan::mesh
 {
 
+/// @brief What was charged to the retry budget of one guard, and what earned it.
+struct retry_budget_counters
+{
+    std::uint64_t requests{0}; ///< Client requests that earned budget.
+    std::uint64_t attempts{0}; ///< Charged for an earlier attempt.
+    std::uint64_t calls{0};    ///< Charged for being made by a retried request.
+    std::uint64_t denied{0};   ///< Refused for lack of budget.
+    /// Calls of the local backend server whose request is not known, so that
+    /// it is not known either whether they are retries.
+    std::uint64_t calls_without_parent{0};
+};
+
 /// @brief Counters of the routed calls of one node since its start.
 struct mesh_metrics
 {
@@ -29,8 +41,7 @@
     std::uint64_t attempts{0};
     /// Retries sent; guards charge them to the budget.
     std::uint64_t retries{0};
-    /// Retries refused by the guard for lack of budget.
-    std::uint64_t retries_denied{0};
+    retry_budget_counters retry_budget;
     /// Further attempts while none has reached a backend server.
     std::uint64_t resends{0};
     std::uint64_t clients_disconnected{0};
--- a/include/jujubespan/mesh/running_calls.hpp
+++ b/include/jujubespan/mesh/running_calls.hpp
@@ -39,6 +39,12 @@
     /// @return costs of the calls that the request made.
     std::vector<service_cost> remove(std::string_view request_id);
 
+    /// @return whether an id has the form of those of calls.
+    [[nodiscard]] static bool is_call_id(std::string_view request_id)
+    {
+        return request_id.find('.') != std::string_view::npos;
+    }
+
     /// @brief Finds the running request that made a call; null when not known.
     [[nodiscard]] running_call* find_parent(std::string_view request_id);
 
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -278,6 +278,10 @@
         return refused;
     }
     message.client_request = true;
+    if (!is_client_request && running_calls::is_call_id(message.request_id))
+    {
+        ++shared_.metrics.retry_budget.calls_without_parent;
+    }
     const auto priority =
         call.sender == nullptr
             ? call.matched_route->priority
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -32,6 +32,7 @@
 constexpr double slow_server = 2;
 constexpr duration load_defect_log_interval = std::chrono::seconds(1);
 constexpr std::size_t max_logged_header = 64;
+constexpr duration budget_log_interval = std::chrono::seconds(1);
 
 constexpr unsigned request_timeout = 408;
 constexpr unsigned misdirected = 421;
@@ -157,8 +158,45 @@
 
 bool guard::spend_retry_budget(const routed_call& call, time_point now)
 {
-    return call.retry == retry_cause::none ||
-           retry_budget_.try_spend(call.retry, now);
+    if (call.retry == retry_cause::none)
+    {
+        return true;
+    }
+    auto& counters = shared_.metrics.retry_budget;
+    if (!retry_budget_.try_spend(call.retry, now))
+    {
+        ++counters.denied;
+        return false;
+    }
+    ++(call.retry == retry_cause::attempt ? counters.attempts : counters.calls);
+    return true;
+}
+
+// The sums over all guards of a service show whether its retries were charged
+// and what earned them.
+void guard::log_retry_budget(time_point now)
+{
+    if (now < next_budget_log_)
+    {
+        return;
+    }
+    next_budget_log_ = now + budget_log_interval;
+    const auto& counters = shared_.metrics.retry_budget;
+    const auto& before = logged_budget_;
+    if (counters.attempts == before.attempts &&
+        counters.calls == before.calls && counters.denied == before.denied)
+    {
+        return;
+    }
+    log(log_level::info, "retry_budget",
+        "service={} requests={} attempts={} calls={} denied={} "
+        "without_parent={} remaining={:.1f} guards={}",
+        options_.service, counters.requests - before.requests,
+        counters.attempts - before.attempts, counters.calls - before.calls,
+        counters.denied - before.denied,
+        counters.calls_without_parent - before.calls_without_parent,
+        retry_budget_.remaining(now), retry_budget_.guard_count());
+    logged_budget_ = counters;
 }
 
 void guard::on_call(std::uint64_t exchange, routed_call call, time_point now)
@@ -173,7 +211,6 @@
     if (!cause && !spend_retry_budget(call, now))
     {
         cause = reason::retry_budget;
-        ++shared_.metrics.retries_denied;
     }
     const auto body_bytes = call.request.body.size();
     if (!cause && body_bytes_ + body_bytes > options_.max_body_bytes)
@@ -236,6 +273,7 @@
     if (message.client_request && message.retry == retry_cause::none)
     {
         retry_budget_.record_client_request(now);
+        ++shared_.metrics.retry_budget.requests;
     }
     shared_.running.add(message.request_id, {message.key,
                                              message.deadline,
@@ -687,6 +725,7 @@
     }
     run_queued_calls(now);
     return_late_calls(now);
+    log_retry_budget(now);
 }
 
 // The limit is not divided by the slow-down factor: calls that take longer are
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -97,7 +97,22 @@
                 static_cast<double>(counts.retries));
     add_counter(out, "jujubespan_repeats_denied_total",
                 "Repeats for which the retry budget had no room.",
-                static_cast<double>(counts.retries_denied));
+                static_cast<double>(counts.retry_budget.denied));
+    add_counter(out, "jujubespan_retry_budget_requests_total",
+                "Client requests that earned retry budget at the guard.",
+                static_cast<double>(counts.retry_budget.requests));
+    out.begin_family("jujubespan_retries_charged_total", "counter",
+                     "Retries charged to the guard's budget: attempts, and "
+                     "calls made by retried requests.");
+    out.add_sample("jujubespan_retries_charged_total",
+                   metrics::format_label("cause", "attempt"),
+                   static_cast<double>(counts.retry_budget.attempts));
+    out.add_sample("jujubespan_retries_charged_total",
+                   metrics::format_label("cause", "caller"),
+                   static_cast<double>(counts.retry_budget.calls));
+    add_counter(out, "jujubespan_calls_without_parent_total",
+                "Calls of the backend server whose request is not known.",
+                static_cast<double>(counts.retry_budget.calls_without_parent));
     add_counter(out, "jujubespan_resends_total",
                 "Requests sent again that had not arrived anywhere.",
                 static_cast<double>(counts.resends));
