--- a/include/jujubespan/mesh/mesh_metrics.hpp
+++ b/include/jujubespan/mesh/mesh_metrics.hpp
@@ -13,7 +13,8 @@
 namespace jujubespan::mesh
 {
 
-/// @brief What was charged to the retry budget of one guard, and what earned it.
+/// @brief What was charged to the retry budget of one guard, and what earned
+/// it.
 struct retry_budget_counters
 {
     std::uint64_t requests{0}; ///< Client requests that earned budget.
--- a/src/jujubespan/mesh/fleet_testing.hpp
+++ b/src/jujubespan/mesh/fleet_testing.hpp
@@ -5,6 +5,8 @@
 #include "jujubespan/mesh/guard.hpp"
 #include "jujubespan/mesh/quarantine_exchange.hpp"
 
+#include "retry_budget_testing.hpp"
+
 #include <algorithm>
 #include <cstdint>
 #include <functional>
@@ -12,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -49,6 +52,7 @@
         bool leaving{false};                   ///< Sends the header.
         bool listed{true};
         std::uint64_t incarnation{1};
+        double error_share{0};                ///< Of its responses.
         std::optional<time_point> down_since; ///< Its process has ended.
     };
 
@@ -64,7 +68,7 @@
     {
         for (std::size_t i = 0; i < node_count; ++i)
         {
-            nodes_.push_back(std::make_unique<node>(*this, i));
+            nodes_.push_back(std::make_unique<node>(*this, i, true));
         }
         publish_instances();
     }
@@ -111,7 +115,7 @@
     {
         std::erase_if(told_leaving_, [index](const auto& entry)
                       { return entry.first.first == index; });
-        nodes_[index] = std::make_unique<node>(*this, index);
+        nodes_[index] = std::make_unique<node>(*this, index, false);
         nodes_[index]->apply(make_directory());
     }
 
@@ -124,6 +128,7 @@
     void send_request(std::string_view target, unsigned retries_left)
     {
         const auto number = next_request_++;
+        request_times_.push_back(now_);
         open_requests_[number] = {std::string(target), retries_left};
         http_request message;
         message.method = "GET";
@@ -256,6 +261,26 @@
         return most;
     }
 
+    /// @brief Largest number of arrivals beyond the first of their targets and
+    /// beyond the retry budget of the service. Each request must have a target
+    /// of its own.
+    [[nodiscard]] double largest_budget_excess() const
+    {
+        std::set<std::string_view> seen;
+        std::vector<time_point> repeated;
+        for (const auto& item : arrivals_)
+        {
+            if (!seen.insert(item.target).second)
+            {
+                repeated.push_back(item.at);
+            }
+        }
+        return testing::largest_budget_excess(repeated, request_times_,
+                                              retry_budget);
+    }
+
+    static constexpr retry_budget_options retry_budget{
+        0.2, 10, std::chrono::seconds(10)};
     /// Requests whose targets begin with it end the process of each server
     /// that runs them.
     static constexpr std::string_view crashing_prefix = "/crash/";
@@ -307,10 +332,10 @@
                        public suspicion_port
     {
     public:
-        node(simulated_fleet& owner, std::size_t own_index)
+        node(simulated_fleet& owner, std::size_t own_index, bool fleet_starting)
             : fleet(owner), index(own_index),
-              guard(guard_options_of(own_index), shared, *this, *this,
-                    owner.now_),
+              guard(guard_options_of(own_index, fleet_starting), shared, *this,
+                    *this, owner.now_),
               egress({"s", "zone-a", names}, shared, *this, *this,
                      own_index + 1)
         {
@@ -334,12 +359,14 @@
             egress.apply(std::move(next));
         }
 
-        static guard_options guard_options_of(std::size_t own_index)
+        static guard_options guard_options_of(std::size_t own_index,
+                                              bool fleet_starting)
         {
             guard_options value;
             value.service = "s";
             value.backend_address = backend_address_of(own_index);
-            value.fleet_starting = true;
+            value.fleet_starting = fleet_starting;
+            value.retry_budget = retry_budget;
             value.names = make_names();
             return value;
         }
@@ -544,6 +571,11 @@
                 200,
                 {{names.signature, "x"}, {names.request_id, id}},
                 std::to_string(index)};
+            if (std::uniform_real_distribution<double>(0, 1)(fleet.random_) <
+                state.error_share)
+            {
+                response.status = 500;
+            }
             if (state.rate_limit)
             {
                 response.headers.push_back(
@@ -696,6 +728,7 @@
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<std::unique_ptr<node>> nodes_;
     std::vector<arrival> arrivals_;
+    std::vector<time_point> request_times_;
     std::vector<crash> crashes_;
     // When a node first passed on that a server leaves.
     std::map<std::pair<std::size_t, std::size_t>, time_point> told_leaving_;
