Bound the retries of a service in every window, also across restarts

Cause: a guard could spend at once what the client requests of the last window had earned. A restarted process forgets what its predecessor spent and earned again from the requests that followed, within the same window of the rule. The same happened without a restart when the load moved from guards that had spent their share to others.

Fix: from any moment on, a guard spends for one window at most 0.5 of the ratio of the client requests before that moment and 0.4 of the ratio of those since. The sum over all guards is a weighted mean of two windows' budgets, which the larger of them bounds, so that it depends neither on how requests are spread nor on what a new process knows.

All other tests of retry budgets pass unchanged.

--- a/include/jujubespan/mesh/guard_retry_budget.hpp
+++ b/include/jujubespan/mesh/guard_retry_budget.hpp
@@ -30,14 +30,17 @@
 /// @brief Share of the retry budget of a service that one guard spends.
 ///
 /// It consists of the ratio of the client requests that ran at this guard and
-/// an equal part of the slack. The shares of all guards of a service sum to
-/// less than the budget as long as no guard counts fewer guards than exist.
+/// an equal part of the slack. A window's retries are paid by the requests of
+/// that window and of the one before, each with a weight; both weights together
+/// are less than one. Therefore the shares of all guards of a service sum to
+/// less than its budget whichever guards the requests reach and whenever guards
+/// restart, as long as no guard counts fewer guards than exist.
 class guard_retry_budget
 {
 public:
-    /// @param fleet_starting true when the whole fleet starts now. Otherwise
-    /// an earlier process may have spent this guard's share, so the slack is
-    /// withheld for one window.
+    /// @param fleet_starting true when the whole fleet starts now, so that
+    /// there was no earlier window. Otherwise an earlier process may have spent
+    /// this guard's share, so the slack is withheld for one window.
     guard_retry_budget(retry_budget_options options, bool fleet_starting,
                        time_point now);
 
@@ -62,30 +65,31 @@
     [[nodiscard]] std::size_t guard_count() const { return guard_count_; }
 
 private:
-    struct event
+    // Totals at a time, without the events at that time.
+    struct snapshot
     {
         time_point at;
-        double amount{0};
+        double requests{0};
+        double spent{0};
     };
 
-    struct sliding_sum
-    {
-        std::deque<event> events; // one per event_resolution
-        double sum{0};
-
-        void add(time_point now);
-        void expire(time_point before);
-    };
-
-    [[nodiscard]] double budget(time_point now);
+    void add_snapshot(time_point now);
+    [[nodiscard]] bool is_first_window(time_point now) const;
+    // This guard's part of the slack.
+    [[nodiscard]] double slack(time_point now) const;
+    // Client requests in the window that ends at `until`.
+    [[nodiscard]] double requests_before(const snapshot& until) const;
+    // Retries that the windows that begin at a time still allow.
+    [[nodiscard]] double remaining_since(const snapshot& begin) const;
 
     retry_budget_options options_;
     bool fleet_starting_;
     time_point started_at_;
     std::size_t guard_count_{0};
     time_point guard_count_at_{};
-    sliding_sum requests_;
-    sliding_sum spent_;
+    std::deque<snapshot> snapshots_; // of the last two windows
+    double requests_{0};             // client requests since the start
+    double spent_{0};                // retries since the start
 };
 
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/guard_retry_budget.cpp
+++ b/src/jujubespan/mesh/guard_retry_budget.cpp
@@ -1,31 +1,34 @@
 #include "jujubespan/mesh/guard_retry_budget.hpp"
 
+#include <algorithm>
+
 namespace jujubespan::mesh
 {
 
 namespace
 {
 
-// Share of the budget that is spent. The rest covers calls that the backend
-// server counts in a different window than the guard.
-constexpr double spendable_share = 0.8;
+// Weights of the client requests of a window, and of those of the window before
+// it. The rest of the budget covers calls that wait for a slot, so that the
+// backend server counts them in a later window than the guard.
+constexpr double weight_in_window = 0.4;
+constexpr double weight_before = 0.5;
+constexpr double spendable_share = weight_in_window + weight_before;
 // Largest expected ratio of the existing guards to the listed ones.
 constexpr double unlisted_guard_factor = 1.25;
 // Time for which the largest number of guards is kept.
 constexpr duration guard_count_lifetime = std::chrono::seconds(60);
-// Events closer together than this are merged.
-constexpr duration event_resolution = std::chrono::milliseconds(100);
-// Spent retries stay counted for this time beyond the window, since
-// their calls may wait for a slot.
-constexpr duration spent_window_margin = std::chrono::milliseconds(1500);
-// Share of the budget that calls made by retried requests must leave.
+constexpr duration snapshot_interval = std::chrono::milliseconds(250);
+// Share of what may be spent at once that calls made by retried requests must
+// leave.
 constexpr double reserved_for_attempts = 0.5;
 
 } // namespace
 
 guard_retry_budget::guard_retry_budget(retry_budget_options options,
                                        bool fleet_starting, time_point now)
-    : options_(options), fleet_starting_(fleet_starting), started_at_(now)
+    : options_(options), fleet_starting_(fleet_starting),
+      started_at_(now), snapshots_{{now}}
 {
 }
 
@@ -40,59 +43,92 @@
     }
 }
 
-void guard_retry_budget::sliding_sum::add(time_point now)
+void guard_retry_budget::add_snapshot(time_point now)
 {
-    if (events.empty() || now - events.back().at > event_resolution)
+    if (now - snapshots_.back().at < snapshot_interval)
+    {
+        return;
+    }
+    snapshots_.push_back({now, requests_, spent_});
+    const auto oldest = now - 2 * options_.window - 2 * snapshot_interval;
+    while (snapshots_.front().at < oldest)
     {
-        events.push_back({now, 0});
+        snapshots_.pop_front();
     }
-    events.back().amount += 1;
-    sum += 1;
 }
 
-void guard_retry_budget::sliding_sum::expire(time_point before)
+void guard_retry_budget::record_client_request(time_point now)
 {
-    while (!events.empty() && events.front().at < before)
+    add_snapshot(now);
+    requests_ += 1;
+}
+
+bool guard_retry_budget::is_first_window(time_point now) const
+{
+    return now - started_at_ < options_.window;
+}
+
+double guard_retry_budget::slack(time_point now) const
+{
+    if (guard_count_ == 0 || (!fleet_starting_ && is_first_window(now)))
     {
-        sum -= events.front().amount;
-        events.pop_front();
+        return 0;
     }
+    return spendable_share * options_.slack /
+           (static_cast<double>(guard_count_) * unlisted_guard_factor);
 }
 
-void guard_retry_budget::record_client_request(time_point now)
+double guard_retry_budget::requests_before(const snapshot& until) const
 {
-    requests_.add(now);
-    requests_.expire(now - options_.window);
+    const auto first = std::lower_bound(
+        snapshots_.begin(), snapshots_.end(), until.at - options_.window,
+        [](const snapshot& item, time_point at) { return item.at < at; });
+    return until.requests - first->requests;
 }
 
-double guard_retry_budget::budget(time_point now)
+double guard_retry_budget::remaining_since(const snapshot& begin) const
 {
-    requests_.expire(now - options_.window);
-    const bool slack_available =
-        guard_count_ > 0 &&
-        (fleet_starting_ || now - started_at_ >= options_.window);
-    const double slack =
-        slack_available ? options_.slack / (static_cast<double>(guard_count_) *
-                                            unlisted_guard_factor)
-                        : 0;
-    return spendable_share * (options_.ratio * requests_.sum + slack);
+    return options_.ratio * (weight_in_window * (requests_ - begin.requests) +
+                             weight_before * requests_before(begin)) -
+           (spent_ - begin.spent);
 }
 
 double guard_retry_budget::remaining(time_point now)
 {
-    spent_.expire(now - options_.window - spent_window_margin);
-    return budget(now) - spent_.sum;
+    if (fleet_starting_ && is_first_window(now))
+    {
+        return spendable_share * options_.ratio * requests_ + slack(now) -
+               spent_;
+    }
+    add_snapshot(now);
+    double result = remaining_since({now, requests_, spent_});
+    for (auto begin = snapshots_.rbegin(); begin != snapshots_.rend(); ++begin)
+    {
+        result = std::min(result, remaining_since(*begin));
+        if (begin->at < now - options_.window)
+        {
+            break;
+        }
+    }
+    return result + slack(now);
 }
 
 bool guard_retry_budget::try_spend(retry_cause cause, time_point now)
 {
-    const double reserved =
-        cause == retry_cause::caller ? reserved_for_attempts * budget(now) : 0;
+    add_snapshot(now);
+    double reserved = 0;
+    if (cause == retry_cause::caller)
+    {
+        const double at_once = weight_before * options_.ratio *
+                                   requests_before({now, requests_, spent_}) +
+                               slack(now);
+        reserved = reserved_for_attempts * at_once;
+    }
     if (remaining(now) < 1 + reserved)
     {
         return false;
     }
-    spent_.add(now);
+    spent_ += 1;
     return true;
 }
 
