Do not reuse a connection after a refusal without an id

A faulty backend server may write an earlier refusal once more on a kept connection. A copy that echoes its id is skipped. One without an id was taken for the response to the next request if no earlier response on that connection had echoed one, so that its caller was told "not run" about a request that the server was running, and a request that must not repeat could run a second time elsewhere.

A connection is no longer reused after an error response that does not echo the id of its request.

http_client.repeated_refusal_is_not_the_response_to_the_next_request failed before (503 instead of the response); copies on idle connections and copies with an id were handled.

--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t read_chunk_bytes = 16U << 10U;
 // Responses to earlier requests that may precede the expected one.
 constexpr unsigned max_skipped_responses = 4;
+constexpr unsigned first_error_status = 400;
 
 // How long the server keeps an idle connection open, from
 // `Keep-Alive: timeout=N`.
@@ -272,15 +273,20 @@
             owner_.finish_exchange(this, exchange_result::failed, {}, false);
             return;
         }
+        const bool echoed =
+            !expected_echo_.empty() &&
+            !find_header(response.headers, owner_.options_.echo_header).empty();
+        server_echoes_ = server_echoes_ || echoed;
+        // A second copy of a refusal without an id could not be distinguished
+        // from the refusal of the next request.
+        const bool identifiable = expected_echo_.empty() || echoed ||
+                                  response.status < first_error_status;
         // If the server responded before the whole request was written, it may
         // still read the rest of that request, so the connection cannot be
         // reused.
-        const bool reusable = keep_alive && skipped_responses_ == 0 &&
-                              receive_buffer_.isEmpty() &&
-                              socket_->bytesToWrite() == 0;
-        server_echoes_ =
-            server_echoes_ ||
-            !find_header(response.headers, owner_.options_.echo_header).empty();
+        const bool reusable =
+            keep_alive && identifiable && skipped_responses_ == 0 &&
+            receive_buffer_.isEmpty() && socket_->bytesToWrite() == 0;
         owner_.finish_exchange(this, exchange_result::answered,
                                std::move(response), reusable);
     }
--- a/src/jujubespan/http/client_test.cpp
+++ b/src/jujubespan/http/client_test.cpp
@@ -271,6 +271,65 @@
     EXPECT_EQ(target.connect_attempts(), 1U);
 }
 
+// Guards against a refusal that a server writes a second time being taken for
+// the response to the next request, which the server runs.
+TEST(http_client, repeated_refusal_is_not_the_response_to_the_next_request)
+{
+    const QByteArray refusals[] = {
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: 1\r\n"
+        "Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"};
+    for (const auto& refusal : refusals)
+    {
+        const QTcpSocket* refused = nullptr;
+        scripted_backend backend(
+            [&](QTcpSocket& socket)
+            {
+                const bool first = refused == nullptr;
+                if (first || refused == &socket)
+                {
+                    refused = &socket;
+                    socket.write(refusal);
+                }
+                if (!first)
+                {
+                    socket.write("HTTP/1.1 200 OK\r\nRequest-Id: 2\r\n"
+                                 "Content-Length: 3\r\n\r\ntwo");
+                }
+            });
+        recorder handler;
+        client target(backend.endpoint(), echo_checking_options(), handler);
+        target.start(1, get_with_id("1"));
+        ASSERT_TRUE(wait_for([&] { return handler.results.contains(1); }));
+        EXPECT_EQ(handler.results[1].second.status, 503U);
+        target.start(2, get_with_id("2"));
+        ASSERT_TRUE(wait_for([&] { return handler.results.contains(2); }));
+        EXPECT_EQ(handler.results[2].second.body, "two")
+            << refusal.toStdString();
+    }
+}
+
+// The same when the second copy arrives while no request is in progress.
+TEST(http_client, refusal_repeated_on_an_idle_connection_closes_it)
+{
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            const QByteArray refusal =
+                "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: 1\r\n"
+                "Content-Length: 0\r\n\r\n";
+            socket.write(refusal);
+            QTimer::singleShot(20, &socket,
+                               [&socket, refusal] { socket.write(refusal); });
+        });
+    recorder handler;
+    client target(backend.endpoint(), echo_checking_options(), handler);
+    target.start(1, get_with_id("1"));
+    ASSERT_TRUE(wait_for([&] { return handler.results.contains(1); }));
+    EXPECT_EQ(target.idle_connection_count(), 1U);
+    EXPECT_TRUE(wait_for([&] { return target.idle_connection_count() == 0; }));
+}
+
 TEST(http_client, last_response_to_an_earlier_request_is_a_failure)
 {
     scripted_backend backend(
