Test: responses that break off within their head

Another operator's clients got a 200 with an empty or short body. This cannot happen here: for each of four heads, the exchange fails at whatever byte the head breaks off.

--- a/src/jujubespan/http/client_test.cpp
+++ b/src/jujubespan/http/client_test.cpp
@@ -330,6 +330,38 @@
     EXPECT_TRUE(wait_for([&] { return target.idle_connection_count() == 0; }));
 }
 
+// Guards against a response whose head breaks off being passed on as a whole
+// one with an empty or short body.
+TEST(http_client, response_that_breaks_off_within_its_head_is_a_failure)
+{
+    const QByteArray heads[] = {
+        "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 600\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nRequest-Id: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nConnection: close\r\n\r\n"};
+    for (const auto& head : heads)
+    {
+        qsizetype length = 0;
+        scripted_backend backend(
+            [&](QTcpSocket& socket)
+            {
+                socket.write(head.first(length));
+                socket.disconnectFromHost();
+            });
+        recorder handler;
+        client target(backend.endpoint(), echo_checking_options(), handler);
+        for (; length < head.size(); ++length)
+        {
+            const auto id = static_cast<std::uint64_t>(length) + 1;
+            target.start(id, get_with_id("1"));
+            ASSERT_TRUE(wait_for([&] { return handler.results.contains(id); }));
+            EXPECT_EQ(handler.results[id].first, exchange_result::failed)
+                << head.first(length).toStdString();
+        }
+    }
+}
+
 TEST(http_client, last_response_to_an_earlier_request_is_a_failure)
 {
     scripted_backend backend(
