Reject addresses that are not IP addresses

An entry of another writer among those of the backend servers ended processes: with the address ".8:80" or "]:80" it was listed, and the first message to its node ended the sender, since ZeroMQ throws at such an address and nothing caught the exception. Ports and numbers out of range were rejected before.

The host of an endpoint must now be an IP address, and a messenger leaves out peers whose address is malformed (peer_address_rejected).

--- a/include/jujubespan/config/endpoint.hpp
+++ b/include/jujubespan/config/endpoint.hpp
@@ -22,7 +22,8 @@
 std::string to_string(const endpoint& value);
 
 /// @brief Parses `host:port`.
-/// @return empty if the text does not have this form.
+/// @return empty if the text does not have this form, the host is not an IP
+/// address or the port is not between 1 and 65535.
 std::optional<endpoint> parse_endpoint(std::string_view text);
 
 } // namespace jujubespan::config
--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -95,6 +95,7 @@
 
     /// @brief Replaces the addresses of all peers. Connections to peers that
     /// are no longer listed, or whose address or key has changed, are closed.
+    /// Peers whose address is not `host:port` are left out.
     void set_peers(std::span<const peer_address> peers);
 
     /// @brief Sets the digest of the quarantine that all messages carry.
--- a/src/jujubespan/config/endpoint.cpp
+++ b/src/jujubespan/config/endpoint.cpp
@@ -2,12 +2,28 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
+#include <arpa/inet.h>
 #include <charconv>
 
 namespace jujubespan::config
 {
 
+namespace
+{
+
+bool is_ip_address(std::string host)
+{
+    if (host.starts_with('[') && host.ends_with(']'))
+    {
+        host = host.substr(1, host.size() - 2);
+    }
+    in6_addr address{}; // large enough for both families
+    return ::inet_pton(AF_INET, host.c_str(), &address) == 1 ||
+           ::inet_pton(AF_INET6, host.c_str(), &address) == 1;
+}
+
+} // namespace
+
 std::string to_string(const endpoint& value)
 {
     return fmt::format("{}:{}", value.host, value.port);
@@ -26,16 +42,8 @@
     const char* end = port.data() + port.size();
     const auto [parsed_end, error] =
         std::from_chars(port.data(), end, value.port);
-    const bool numeric = std::all_of(value.host.begin(), value.host.end(),
-                                     [](char c)
-                                     {
-                                         return (c >= '0' && c <= '9') ||
-                                                (c >= 'a' && c <= 'f') ||
-                                                c == '.' || c == ':' ||
-                                                c == '[' || c == ']';
-                                     });
     if (error != std::errc{} || parsed_end != end || value.port == 0 ||
-        !numeric)
+        !is_ip_address(value.host))
     {
         return std::nullopt;
     }
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -1,5 +1,7 @@
 #include "jujubespan/peer/messenger.hpp"
 
+#include "jujubespan/config/endpoint.hpp"
+#include "jujubespan/metrics/log.hpp"
 #include "jujubespan/peer/peer.pb.h"
 
 #include <fmt/format.h>
@@ -121,6 +123,13 @@
     string_map<peer_address> new_addresses;
     for (const auto& peer : peers)
     {
+        // ZeroMQ throws at some malformed addresses.
+        if (!config::parse_endpoint(peer.endpoint))
+        {
+            log(log_level::warn, "peer_address_rejected",
+                "peer={} address=\"{}\"", peer.id, peer.endpoint);
+            continue;
+        }
         new_addresses[peer.id] = peer;
     }
     std::vector<std::string> removed_or_changed;
--- a/src/jujubespan/peer/messenger_test.cpp
+++ b/src/jujubespan/peer/messenger_test.cpp
@@ -125,6 +125,22 @@
     EXPECT_EQ(a.handler.unsent, (std::vector<std::string>{"gone"}));
 }
 
+// Guards against an address that ZeroMQ rejects ending the process, since its
+// exception is not caught.
+TEST_F(messengers, message_to_a_malformed_address_is_not_sent)
+{
+    a.target.set_peers(
+        std::vector<peer_address>{{"dot", ".8:7620", ""},
+                                  {"bracket", "]:7620", ""},
+                                  {"port", "10.0.0.1:70000", ""}});
+    auto message = make_call(7);
+    for (const auto* peer : {"dot", "bracket", "port"})
+    {
+        EXPECT_FALSE(a.target.send(peer, message, boot_clock::now())) << peer;
+    }
+    EXPECT_EQ(a.target.connection_count(), 0U);
+}
+
 // Each connection uses three ZeroMQ sockets. The default limit of a context,
 // 1023 sockets, ended the process in a fleet of this size.
 TEST(messenger_limits, connects_to_every_node_of_a_large_fleet)
