Do not earn retry budget for requests that fail to connect

A client request that fails to connect starts again at another guard.

A guard takes the request back when its exchange ends as unreachable.

--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -140,6 +140,7 @@
     reason_to_refuse(const routed_call& call, time_point now) const;
     [[nodiscard]] bool spend_retry_budget(const routed_call& call,
                                           time_point now);
+    [[nodiscard]] static bool earns_retry_budget(const routed_call& call);
     void log_retry_budget(time_point now);
     void start_call(std::uint64_t id, time_point now);
     void run_queued_calls(time_point now);
--- a/include/jujubespan/mesh/guard_retry_budget.hpp
+++ b/include/jujubespan/mesh/guard_retry_budget.hpp
@@ -52,6 +52,10 @@
     /// @brief Counts a client request that runs and is not a retry.
     void record_client_request(time_point now);
 
+    /// @brief Removes a counted client request that has not reached the backend
+    /// server: the guard that runs it counts it.
+    void withdraw_client_request() { requests_ -= 1; }
+
     /// @brief Spends one retry if the budget allows it. Calls made by retried
     /// requests leave part of the budget to retries of single attempts, which
     /// are more effective.
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -172,6 +172,11 @@
     return true;
 }
 
+bool guard::earns_retry_budget(const routed_call& call)
+{
+    return call.client_request && call.retry == retry_cause::none;
+}
+
 // The sums over all guards of a service show whether its retries were charged
 // and what earned them.
 void guard::log_retry_budget(time_point now)
@@ -270,7 +275,7 @@
     const auto& message = call.message;
     // Counted only when the call starts: a call that is refused here may be
     // sent to another guard, which counts it as well.
-    if (message.client_request && message.retry == retry_cause::none)
+    if (earns_retry_budget(message))
     {
         retry_budget_.record_client_request(now);
         ++shared_.metrics.retry_budget.requests;
@@ -509,6 +514,11 @@
         record_completion(found->second, reply.answer, now);
         break;
     case engine::backend_end::unreachable:
+        if (earns_retry_budget(found->second.message))
+        {
+            retry_budget_.withdraw_client_request();
+            --shared_.metrics.retry_budget.requests;
+        }
         reply.answer = engine::make_refusal(reason::backend_unreachable, true);
         break;
     case engine::backend_end::failed:
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -443,6 +443,31 @@
     EXPECT_LE(retries, 10 + 0.2 * static_cast<double>(ran));
 }
 
+// Guards against a request that fails to connect earning budget at each guard
+// that tries to start it.
+TEST_F(guard_test, client_requests_that_fail_to_connect_add_no_retry_budget)
+{
+    constexpr std::uint64_t requests = 200;
+    for (std::uint64_t i = 1; i <= requests; ++i)
+    {
+        now += 10ms;
+        call(i, 0, false, 1s, retry_cause::none, true);
+        target.on_backend_exchange_end(i, engine::backend_end::unreachable, {},
+                                       now);
+    }
+    const auto started = backend.requests.size();
+    constexpr std::uint64_t calls = 60;
+    for (std::uint64_t i = requests + 1; i <= requests + calls; ++i)
+    {
+        call(i, 0, false, 1s, retry_cause::attempt);
+        if (backend.requests.contains(i))
+        {
+            answer(i, 200, {{names.signature, "x"}});
+        }
+    }
+    EXPECT_LE(backend.requests.size() - started, 10U) << "only the slack";
+}
+
 TEST_F(guard_test, client_requests_that_run_add_retry_budget)
 {
     constexpr std::uint64_t requests = 200;
