--- a/bench/retry_budget.py
+++ b/bench/retry_budget.py
@@ -16,7 +16,8 @@
 
 import lost_requests
 
-COLUMNS = ("requests", "attempts", "calls", "denied", "without_parent")
+COLUMNS = ("requests", "withdrawn", "attempts", "calls", "denied",
+           "without_parent")
 
 
 def sums_by_second(lines):
@@ -50,8 +51,8 @@
             window = [seconds[at] for at in seconds
                       if second - options.window < at <= second]
             retries = sum(s["attempts"] + s["calls"] for s in window)
-            budget = (options.ratio * sum(s["requests"] for s in window) +
-                      options.slack)
+            requests = sum(s["requests"] - s["withdrawn"] for s in window)
+            budget = options.ratio * requests + options.slack
             print(second, *(sums[column] for column in COLUMNS), retries,
                   round(budget), sep="\t")
 
--- a/include/jujubespan/mesh/mesh_metrics.hpp
+++ b/include/jujubespan/mesh/mesh_metrics.hpp
@@ -18,6 +18,8 @@
 struct retry_budget_counters
 {
     std::uint64_t requests{0}; ///< Client requests that earned budget.
+    /// Requests taken back, since they did not reach the backend server.
+    std::uint64_t withdrawn{0};
     std::uint64_t attempts{0}; ///< Charged for an earlier attempt.
     std::uint64_t calls{0};    ///< Charged for being made by a retried request.
     std::uint64_t denied{0};   ///< Refused for lack of budget.
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -194,9 +194,10 @@
         return;
     }
     log(log_level::info, "retry_budget",
-        "service={} requests={} attempts={} calls={} denied={} "
+        "service={} requests={} withdrawn={} attempts={} calls={} denied={} "
         "without_parent={} remaining={:.1f} guards={}",
         options_.service, counters.requests - before.requests,
+        counters.withdrawn - before.withdrawn,
         counters.attempts - before.attempts, counters.calls - before.calls,
         counters.denied - before.denied,
         counters.calls_without_parent - before.calls_without_parent,
@@ -517,7 +518,7 @@
         if (earns_retry_budget(found->second.message))
         {
             retry_budget_.withdraw_client_request();
-            --shared_.metrics.retry_budget.requests;
+            ++shared_.metrics.retry_budget.withdrawn;
         }
         reply.answer = engine::make_refusal(reason::backend_unreachable, true);
         break;
--- a/src/jujubespan/node/mesh_report_text.cpp
+++ b/src/jujubespan/node/mesh_report_text.cpp
@@ -101,6 +101,9 @@
     add_counter(out, "jujubespan_retry_budget_requests_total",
                 "Client requests that earned retry budget at the guard.",
                 static_cast<double>(counts.retry_budget.requests));
+    add_counter(out, "jujubespan_retry_budget_withdrawn_total",
+                "Of these, requests that did not reach the backend server.",
+                static_cast<double>(counts.retry_budget.withdrawn));
     out.begin_family("jujubespan_retries_charged_total", "counter",
                      "Retries charged to the guard's budget: attempts, and "
                      "calls made by retried requests.");
