Recognize the calls of requests that the guard has given up

A guard forgot a request when its exchange ended without a response: cancelled, past its deadline, or with a failed connection. A backend server that goes on with it makes calls whose request is then unknown. They counted as requests of clients, were not charged to the retry budget when the request was a retry, and earned budget instead; where requests need keys they were refused.

Such a request is kept until its deadline, at which backend servers stop their work. guard_test.calls_of_a_cancelled_request_still_count_as_its_calls and calls_of_a_request_without_a_response_count_as_its_calls failed before. No such call was seen to break the budget: the cause was found by reading.

--- a/include/jujubespan/mesh/running_calls.hpp
+++ b/include/jujubespan/mesh/running_calls.hpp
@@ -6,8 +6,11 @@
 #include "jujubespan/policy/string_map.hpp"
 #include "jujubespan/policy/time.hpp"
 
+#include <absl/container/btree_set.h>
+
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace jujubespan::mesh
@@ -21,6 +24,8 @@
     std::vector<service_cost> costs; ///< Costs of its calls so far.
     bool is_retry{false};            ///< An earlier attempt may also have run.
     std::string organisation;        ///< Sender of the request, if known.
+    /// The guard no longer waits for its response.
+    bool abandoned{false};
 };
 
 /// @brief The requests that the local backend server runs, by request id.
@@ -39,6 +44,14 @@
     /// @return costs of the calls that the request made.
     std::vector<service_cost> remove(std::string_view request_id);
 
+    /// @brief Like `remove`, for a request without a response: the backend
+    /// server may go on with it, so its calls are recognized until its
+    /// deadline.
+    std::vector<service_cost> abandon(std::string_view request_id);
+
+    /// @brief Removes abandoned requests whose deadline has passed.
+    void expire(time_point now);
+
     /// @return whether an id has the form of those of calls.
     [[nodiscard]] static bool is_call_id(std::string_view request_id)
     {
@@ -50,6 +63,8 @@
 
 private:
     string_map<running_call> calls_;
+    // Abandoned requests, by deadline. Some run again since.
+    absl::btree_set<std::pair<time_point, std::string>> abandoned_;
 };
 
 } // namespace jujubespan::mesh
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -285,7 +285,8 @@
                                              message.deadline,
                                              {},
                                              message.retry != retry_cause::none,
-                                             message.organisation});
+                                             message.organisation,
+                                             false});
     // The caller's node keeps the request for another attempt.
     auto request = std::move(call.message.request);
     request.idempotent = message.idempotent;
@@ -646,7 +647,10 @@
     release_slot(call, answered, now);
     if (call.running)
     {
-        reply.costs = shared_.running.remove(call.message.request_id);
+        // Without an answer, the backend server may go on with the request.
+        reply.costs = reply.answer.result == outcome::unknown
+                          ? shared_.running.abandon(call.message.request_id)
+                          : shared_.running.remove(call.message.request_id);
         if (reply.reached_backend)
         {
             add_cost(reply.costs,
@@ -699,7 +703,7 @@
     {
         cancelled_requests_.push_back({call.fingerprint, now});
         backend_.cancel(exchange);
-        shared_.running.remove(call.message.request_id);
+        shared_.running.abandon(call.message.request_id);
         release_slot(call, false, now);
         run_queued_calls(now);
         return;
@@ -729,6 +733,7 @@
     {
         finish_failed_calls(false, now);
     }
+    shared_.running.expire(now);
     update_suspects(now);
     for (const auto id : gate_.update_level(now))
     {
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -443,6 +443,37 @@
     EXPECT_LE(retries, 10 + 0.2 * static_cast<double>(ran));
 }
 
+// Guards against calls of a retried request that are not charged, since the
+// guard has cancelled its exchange and the backend server goes on with it.
+TEST_F(guard_test, calls_of_a_cancelled_request_still_count_as_its_calls)
+{
+    call(1, 7, false, 800ms, retry_cause::attempt);
+    target.on_cancelled(1, now);
+    const auto* parent = shared.running.find_parent("id-1.a");
+    ASSERT_NE(parent, nullptr);
+    EXPECT_TRUE(parent->is_retry);
+    now += 700ms;
+    target.on_tick(now);
+    EXPECT_NE(shared.running.find_parent("id-1.b"), nullptr);
+    now += 200ms;
+    target.on_tick(now);
+    EXPECT_EQ(shared.running.find_parent("id-1.c"), nullptr)
+        << "the deadline has passed";
+}
+
+// The same when the connection to the backend server fails.
+TEST_F(guard_test, calls_of_a_request_without_a_response_count_as_its_calls)
+{
+    call(1);
+    target.on_backend_exchange_end(1, backend_end::failed, {}, now);
+    target.on_backend_probe_end(engine::backend_probe_result::accepted, now);
+    ASSERT_TRUE(replies.replies.contains(1));
+    EXPECT_NE(shared.running.find_parent("id-1.a"), nullptr);
+    call(2);
+    answer(2, 200, {{names.signature, "x"}});
+    EXPECT_EQ(shared.running.find_parent("id-2.a"), nullptr);
+}
+
 // Guards against a request that fails to connect earning budget at each guard
 // that tries to start it.
 TEST_F(guard_test, client_requests_that_fail_to_connect_add_no_retry_budget)
--- a/src/jujubespan/mesh/running_calls.cpp
+++ b/src/jujubespan/mesh/running_calls.cpp
@@ -20,6 +20,33 @@
     return costs;
 }
 
+std::vector<service_cost> running_calls::abandon(std::string_view request_id)
+{
+    const auto found = calls_.find(request_id);
+    if (found == calls_.end())
+    {
+        return {};
+    }
+    auto& call = found->second;
+    call.abandoned = true;
+    abandoned_.insert({call.deadline, found->first});
+    return std::exchange(call.costs, {});
+}
+
+void running_calls::expire(time_point now)
+{
+    while (!abandoned_.empty() && abandoned_.begin()->first <= now)
+    {
+        const auto found = calls_.find(abandoned_.begin()->second);
+        if (found != calls_.end() && found->second.abandoned &&
+            found->second.deadline <= now)
+        {
+            calls_.erase(found);
+        }
+        abandoned_.erase(abandoned_.begin());
+    }
+}
+
 running_call* running_calls::find_parent(std::string_view request_id)
 {
     const auto dot = request_id.rfind('.');
