--- a/bench/retry_budget.py
+++ b/bench/retry_budget.py
@@ -31,7 +31,7 @@
         at, _, fields = parsed
         sums = result[fields["service"]][int(at)]
         for column in COLUMNS:
-            sums[column] += int(fields[column])
+            sums[column] += int(fields.get(column, 0))
     return result
 
 
