--- a/include/jujubespan/mesh/organisation_table.hpp
+++ b/include/jujubespan/mesh/organisation_table.hpp
@@ -35,7 +35,7 @@
     absl::flat_hash_map<std::string_view, const organisation*> by_key_;
 };
 
-/// @brief Short hash of a key, by which logs tell keys apart without showing
+/// @brief Short hash of a key, by which logs distinguish keys without showing
 /// them.
 std::string key_digest(std::string_view key);
 
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -80,7 +80,7 @@
 // The priority of the organisation decides first, and that of the route among
 // requests of equal organisations: each priority of organisations has two
 // classes, the lower one for routes whose requests are refused first. There are
-// not enough classes to tell organisations below priority one apart.
+// not enough classes to distinguish organisations below priority one.
 request_class class_of_priorities(std::uint32_t organisation_priority,
                                   std::uint32_t route_priority)
 {
