Do not end at an address that ZeroMQ rejects

Cause: parse_endpoint checked the host with inet_pton, which stops at a zero byte, and returned the whole text. messenger::connect passed it to ZeroMQ, whose exception nobody caught in the traffic thread.

The address is now checked as a whole, and messenger::connect catches what ZeroMQ throws while a connection is opened: the message is reported as not sent, and the next attempt follows a second later. The same holds for a malformed public key, a lack of descriptors and a monitor that cannot be created.

--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -116,7 +116,8 @@
     }
 
     /// @brief Sends a message, opening a connection first if there is none.
-    /// @return false if the message was not sent and is not pending.
+    /// @return false if the message was not sent and is not pending, also when
+    /// ZeroMQ rejects the address or no descriptor is free.
     bool send(std::string_view peer, v1::Envelope& message, time_point now);
 
     /// @brief Sends heartbeats to silent peers with unanswered calls, and drops
@@ -144,8 +145,13 @@
 private:
     struct connection;
 
-    [[nodiscard]] bool can_connect(std::string_view peer) const;
-    connection& connect(std::string_view peer, time_point now);
+    [[nodiscard]] bool can_connect(std::string_view peer, time_point now) const;
+    /// @return null if the connection could not be opened.
+    connection* connect(std::string_view peer, time_point now);
+    /// @throws zmq::error_t if ZeroMQ rejects the address or the key, or lacks
+    /// a resource.
+    std::unique_ptr<connection> open_connection(const peer_address& address,
+                                                time_point now);
     void set_envelope_header(v1::Envelope& message, std::string_view to) const;
     bool send_envelope(connection& to, const v1::Envelope& message);
     void receive_from_bound_socket();
@@ -170,6 +176,8 @@
     zmq_socket bound_socket_;
     string_map<peer_address> addresses_;
     string_map<std::unique_ptr<connection>> connections_;
+    /// When the last attempt to open a connection failed, by peer.
+    string_map<time_point> connect_failed_at_;
     std::size_t pending_count_{0}; // over all connections
     messenger_counters counters_;
 };
--- a/include/jujubespan/peer/zmq_socket.hpp
+++ b/include/jujubespan/peer/zmq_socket.hpp
@@ -30,6 +30,7 @@
 {
 public:
     /// @param on_readable must receive until no message is left.
+    /// @throws zmq::error_t if no descriptor is free.
     zmq_socket(zmq::context_t& context, zmq::socket_type type,
                std::function<void()> on_readable);
     ~zmq_socket();
@@ -40,6 +41,7 @@
 
     /// @throws zmq::error_t if the address cannot be bound.
     void bind(const std::string& address);
+    /// @throws zmq::error_t if the address is malformed.
     void connect(const std::string& address);
 
     /// @brief Sends one frame without blocking.
@@ -86,6 +88,7 @@
 /// @brief Sets the limits and, if keys are enabled, the encryption of a socket
 /// that connects.
 /// @param server_key public key of the peer to connect to.
+/// @throws zmq::error_t if a key is malformed.
 void configure_client(zmq::socket_t& socket, const config::peer_keys& keys,
                       std::string_view server_key,
                       const connection_options& options);
--- a/src/jujubespan/config/endpoint.cpp
+++ b/src/jujubespan/config/endpoint.cpp
@@ -13,11 +13,17 @@
 
 bool is_ip_address(std::string host)
 {
+    // inet_pton would read only the part before a zero byte.
+    if (host.find('\0') != std::string::npos)
+    {
+        return false;
+    }
+    in6_addr address{}; // large enough for both families
     if (host.starts_with('[') && host.ends_with(']'))
     {
         host = host.substr(1, host.size() - 2);
+        return ::inet_pton(AF_INET6, host.c_str(), &address) == 1;
     }
-    in6_addr address{}; // large enough for both families
     return ::inet_pton(AF_INET, host.c_str(), &address) == 1 ||
            ::inet_pton(AF_INET6, host.c_str(), &address) == 1;
 }
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -21,6 +21,8 @@
 constexpr duration max_pending_time = std::chrono::milliseconds(250);
 constexpr std::size_t z85_public_key_size = 40;  // characters
 constexpr std::size_t max_pending_messages = 64; // for one peer
+// After ZeroMQ could not open a connection, the next attempt waits this long.
+constexpr duration connect_retry_delay = std::chrono::seconds(1);
 
 // Subtracts the time that a call was pending from its remaining time.
 void subtract_pending_time(v1::Envelope& message, duration pending_time)
@@ -123,7 +125,6 @@
     string_map<peer_address> new_addresses;
     for (const auto& peer : peers)
     {
-        // ZeroMQ throws at some malformed addresses.
         if (!config::parse_endpoint(peer.endpoint))
         {
             log(log_level::warn, "peer_address_rejected",
@@ -144,6 +145,7 @@
     addresses_ = std::move(new_addresses);
     for (const auto& id : removed_or_changed)
     {
+        connect_failed_at_.erase(id);
         drop_connection(id);
     }
 }
@@ -161,31 +163,59 @@
     handler_.on_connection_lost(peer);
 }
 
-bool messenger::can_connect(std::string_view peer) const
+bool messenger::can_connect(std::string_view peer, time_point now) const
 {
     const auto found = addresses_.find(peer);
+    const auto failed = connect_failed_at_.find(peer);
     return found != addresses_.end() &&
            (!keys_.encryption_enabled() ||
-            found->second.public_key.size() == z85_public_key_size);
+            found->second.public_key.size() == z85_public_key_size) &&
+           (failed == connect_failed_at_.end() ||
+            now - failed->second >= connect_retry_delay);
 }
 
-messenger::connection& messenger::connect(std::string_view peer, time_point now)
+messenger::connection* messenger::connect(std::string_view peer, time_point now)
 {
-    static std::uint64_t next_monitor_number = 0;
     const auto& address = addresses_.find(peer)->second;
-    auto created = std::make_unique<connection>(*this, std::string(peer),
+    const std::string id(peer);
+    try
+    {
+        auto created = open_connection(address, now);
+        auto* result = created.get();
+        connections_[id] = std::move(created);
+        connect_failed_at_.erase(id);
+        return result;
+    }
+    // An address or a key that ZeroMQ rejects, or no free descriptor.
+    catch (const zmq::error_t& error)
+    {
+        log(log_level::warn, "peer_connect_failed",
+            "peer={} address=\"{}\" why=\"{}\"", id, address.endpoint,
+            error.what());
+        connect_failed_at_[id] = now;
+        return nullptr;
+    }
+}
+
+std::unique_ptr<messenger::connection>
+messenger::open_connection(const peer_address& address, time_point now)
+{
+    static std::uint64_t next_monitor_number = 0;
+    auto created = std::make_unique<connection>(*this, address.id,
                                                 ++next_monitor_number, now);
     auto& raw = created->socket.raw();
     configure_client(raw, keys_, address.public_key, connection_options_);
-    zmq_socket_monitor(raw.handle(), created->monitor_name.c_str(),
-                       ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED);
+    if (zmq_socket_monitor(raw.handle(), created->monitor_name.c_str(),
+                           ZMQ_EVENT_HANDSHAKE_SUCCEEDED |
+                               ZMQ_EVENT_DISCONNECTED) != 0)
+    {
+        throw zmq::error_t();
+    }
     created->monitor.connect(created->monitor_name);
     created->monitor.start_watching();
     created->socket.connect(fmt::format("tcp://{}", address.endpoint));
     created->socket.start_watching();
-    auto& result = *created;
-    connections_[std::string(peer)] = std::move(created);
-    return result;
+    return created;
 }
 
 void messenger::set_envelope_header(v1::Envelope& message,
@@ -202,26 +232,30 @@
 bool messenger::send(std::string_view peer, v1::Envelope& message,
                      time_point now)
 {
-    if (!can_connect(peer))
+    if (!can_connect(peer, now))
     {
         return false;
     }
     const auto found = connections_.find(peer);
-    connection& to =
-        found == connections_.end() ? connect(peer, now) : *found->second;
+    auto* const to =
+        found == connections_.end() ? connect(peer, now) : found->second.get();
+    if (to == nullptr)
+    {
+        return false;
+    }
     set_envelope_header(message, peer);
-    if (to.connected)
+    if (to->connected)
     {
-        return send_envelope(to, message);
+        return send_envelope(*to, message);
     }
     // ZeroMQ keeps reconnecting by itself, so refusing messages does not delay
     // the recovery of the connection.
-    const bool down_too_long = now - to.down_since > max_pending_time;
-    if (down_too_long || to.pending.size() >= max_pending_messages)
+    const bool down_too_long = now - to->down_since > max_pending_time;
+    if (down_too_long || to->pending.size() >= max_pending_messages)
     {
         return false;
     }
-    to.pending.push_back({message, now});
+    to->pending.push_back({message, now});
     ++pending_count_;
     return true;
 }
--- a/src/jujubespan/peer/messenger_test.cpp
+++ b/src/jujubespan/peer/messenger_test.cpp
@@ -11,6 +11,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <csignal>
@@ -141,6 +142,115 @@
     EXPECT_EQ(a.target.connection_count(), 0U);
 }
 
+// Guards against an address that ends early for the check but not for ZeroMQ,
+// whose exception would end the process.
+TEST_F(messengers, message_to_an_address_with_a_zero_byte_is_not_sent)
+{
+    using namespace std::string_literals;
+    a.target.set_peers(std::vector<peer_address>{
+        {"host", "127.0.0.1\0:7620"s, ""}, {"only", "\0:7620"s, ""}});
+    auto message = make_call(7);
+    for (const auto* peer : {"host", "only"})
+    {
+        EXPECT_FALSE(a.target.send(peer, message, boot_clock::now())) << peer;
+    }
+    EXPECT_EQ(a.target.connection_count(), 0U);
+}
+
+// Guards against the exception that ZeroMQ throws at a public key of the right
+// length with a character outside of its alphabet.
+TEST(messenger_keys, message_to_a_peer_with_a_malformed_key_is_not_sent)
+{
+    app();
+    zmq::context_t context{1};
+    recorder handler;
+    const config::peer_keys keys{
+        std::string(40, '0'), std::string(40, '0'), {}};
+    ASSERT_TRUE(keys.encryption_enabled());
+    messenger target(context, "a", 1, keys, handler);
+    target.set_peers(std::vector<peer_address>{
+        {"malformed", "127.0.0.1:9", std::string(40, '"')},
+        {"valid", "127.0.0.1:9", std::string(40, '0')}});
+    auto message = make_call(7);
+    EXPECT_FALSE(target.send("malformed", message, boot_clock::now()));
+    EXPECT_EQ(target.connection_count(), 0U);
+    EXPECT_TRUE(target.send("valid", message, boot_clock::now()));
+}
+
+// Takes all free descriptors of the process while it exists.
+class descriptor_shortage
+{
+public:
+    descriptor_shortage()
+    {
+        getrlimit(RLIMIT_NOFILE, &original_);
+        constexpr rlim_t low_limit = 256;
+        rlimit lowered = original_;
+        lowered.rlim_cur = std::min(original_.rlim_cur, low_limit);
+        setrlimit(RLIMIT_NOFILE, &lowered);
+        for (int next = ::dup(0); next >= 0; next = ::dup(0))
+        {
+            taken_.push_back(next);
+        }
+    }
+
+    descriptor_shortage(const descriptor_shortage&) = delete;
+    descriptor_shortage& operator=(const descriptor_shortage&) = delete;
+
+    ~descriptor_shortage()
+    {
+        for (const int descriptor : taken_)
+        {
+            ::close(descriptor);
+        }
+        setrlimit(RLIMIT_NOFILE, &original_);
+    }
+
+    // Leaves this many descriptors for others.
+    void release(std::size_t count)
+    {
+        for (; count > 0 && !taken_.empty(); --count)
+        {
+            ::close(taken_.back());
+            taken_.pop_back();
+        }
+    }
+
+private:
+    rlimit original_{};
+    std::vector<int> taken_;
+};
+
+// Guards against a lack of descriptors ending the process when it connects to
+// a peer, at whichever step the last descriptor is used.
+TEST_F(messengers, message_without_a_free_descriptor_is_not_sent)
+{
+    const auto now = boot_clock::now();
+    {
+        descriptor_shortage shortage;
+        for (int step = 0; step < 5; ++step)
+        {
+            auto message = make_call(7);
+            const auto later =
+                now + step * std::chrono::seconds(2); // after the retry delay
+            if (a.target.send("b", message, later))
+            {
+                break;
+            }
+            EXPECT_EQ(a.target.connection_count(), 0U) << step;
+            shortage.release(1);
+        }
+    }
+    auto message = make_call(8);
+    ASSERT_TRUE(wait_for(
+        [&]
+        {
+            a.target.send("b", message, now + std::chrono::seconds(20));
+            return !b.handler.messages.empty();
+        }));
+    EXPECT_EQ(b.handler.messages.back().from(), "a");
+}
+
 // Each connection uses three ZeroMQ sockets. The default limit of a context,
 // 1023 sockets, ended the process in a fleet of this size.
 TEST(messenger_limits, connects_to_every_node_of_a_large_fleet)
