Do not end at a message that the HTTP library cannot hold

Cause: the library throws std::length_error at such a field. parse_buffer limited trailers only while they were incomplete, and nobody caught the exception in the event handler of the socket.

The library now gets at most the limit of a header at once, so that a part that it takes as a whole cannot be longer, however it arrives, and an exception of the library becomes an error of the message. Chunk extensions of any length were accepted in the same way. The decisions of the operators' endpoint had a fault of the same class: the JSON library throws at text that is no UTF-8, which a request's id may hold.

These tests fail without it: http_codec.trailer_beyond_the_limit_is_malformed, http_codec.overlong_part_of_a_message_is_not_accepted, http_client.response_with_an_overlong_trailer_is_a_failure, report.explains_a_decision_on_a_request_with_an_id_of_any_bytes.

--- a/src/jujubespan/http/client_test.cpp
+++ b/src/jujubespan/http/client_test.cpp
@@ -126,6 +126,31 @@
     }
 }
 
+// Guards against a trailer that the parsing library cannot hold ending the
+// process, and with it all other requests.
+TEST(http_client, response_with_an_overlong_trailer_is_a_failure)
+{
+    const QByteArray overlong =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nok\r\n0\r\nName: " +
+        QByteArray(70'000, 'x') + "\r\n\r\n";
+    int answered = 0;
+    scripted_backend backend(
+        [&](QTcpSocket& socket)
+        {
+            socket.write(answered++ == 0 ? overlong
+                                         : "HTTP/1.1 204 No Content\r\n\r\n");
+        });
+    recorder handler;
+    client target(backend.endpoint(), {.header_bytes = 64U << 10U}, 4, handler);
+    target.start(1, make_post());
+    ASSERT_TRUE(wait_for([&] { return handler.results.contains(1); }));
+    EXPECT_EQ(handler.results[1].first, exchange_result::failed);
+    target.start(2, make_post());
+    ASSERT_TRUE(wait_for([&] { return handler.results.contains(2); }));
+    EXPECT_EQ(handler.results[2].first, exchange_result::answered);
+}
+
 TEST(http_client, skips_interim_responses_and_drops_connections_with_extra_data)
 {
     scripted_backend backend(
--- a/src/jujubespan/http/codec.cpp
+++ b/src/jujubespan/http/codec.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <stdexcept>
 
 namespace jujubespan::http
 {
@@ -41,29 +42,55 @@
     return parse_state::malformed;
 }
 
+std::size_t part_limit(const message_limits& limits)
+{
+    return std::min(limits.header_bytes, max_header_bytes);
+}
+
+// Passes bytes to the parser, which reports a part that it cannot hold by an
+// exception.
+template <bool is_request>
+std::size_t put_bytes(parser<is_request>& message_parser,
+                      boost::asio::const_buffer bytes, beast::error_code& error)
+{
+    try
+    {
+        return message_parser.put(bytes, error);
+    }
+    catch (const std::length_error&)
+    {
+        error = bhttp::error::header_limit;
+        return 0;
+    }
+}
+
 // Parses from the front of the buffer and removes the parsed bytes. A part that
 // the parser only takes as a whole, such as the header of a chunk or the
-// trailers, is malformed beyond the limit of a header: the parser has no limit
-// for all of them.
+// trailers, is malformed beyond the limit of a header. The parser has no limit
+// for all of them, so it is never given more bytes at once.
 template <bool is_request>
 parse_state parse_buffer(parser<is_request>& message_parser, QByteArray& buffer,
                          const message_limits& limits,
                          std::string& error_message)
 {
+    const auto limit = part_limit(limits);
     qsizetype parsed_bytes = 0;
     beast::error_code error;
     while (!message_parser.is_done() && parsed_bytes < buffer.size())
     {
-        const boost::asio::const_buffer unparsed(
-            buffer.constData() + parsed_bytes,
-            static_cast<std::size_t>(buffer.size() - parsed_bytes));
-        const auto consumed = message_parser.put(unparsed, error);
+        const auto unparsed_bytes =
+            static_cast<std::size_t>(buffer.size() - parsed_bytes);
+        const boost::asio::const_buffer next(buffer.constData() + parsed_bytes,
+                                             std::min(unparsed_bytes, limit));
+        const auto consumed = put_bytes(message_parser, next, error);
         parsed_bytes += static_cast<qsizetype>(consumed);
-        if (error == bhttp::error::need_more || (!error && consumed == 0))
+        const bool needs_more = error == bhttp::error::need_more;
+        const bool at_end = next.size() == unparsed_bytes;
+        if ((needs_more && at_end) || (consumed == 0 && (needs_more || !error)))
         {
             break;
         }
-        if (error)
+        if (error && !needs_more)
         {
             error_message = error.message();
             return to_parse_state(error);
@@ -86,7 +113,7 @@
     {
         return parse_state::complete;
     }
-    if (static_cast<std::size_t>(buffer.size()) > limits.header_bytes)
+    if (static_cast<std::size_t>(buffer.size()) > limit)
     {
         error_message = "a part of the message is too long";
         return parse_state::malformed;
@@ -98,8 +125,7 @@
 void set_limits(parser<is_request>& message_parser,
                 const message_limits& limits)
 {
-    message_parser.header_limit(static_cast<std::uint32_t>(
-        std::min(limits.header_bytes, max_header_bytes)));
+    message_parser.header_limit(static_cast<std::uint32_t>(part_limit(limits)));
     message_parser.body_limit(limits.body_bytes);
 }
 
--- a/src/jujubespan/http/codec_test.cpp
+++ b/src/jujubespan/http/codec_test.cpp
@@ -126,5 +126,100 @@
     EXPECT_EQ(response.parse(bytes), parse_state::header_too_large);
 }
 
+// Parses a message that is received in two parts.
+template <typename Parser>
+parse_state parse_in_parts(Parser& parser, const std::string& message,
+                           std::size_t first_part)
+{
+    auto bytes = QByteArray::fromStdString(message.substr(0, first_part));
+    const auto state = parser.parse(bytes);
+    if (state != parse_state::incomplete)
+    {
+        return state;
+    }
+    bytes.append(QByteArray::fromStdString(message.substr(first_part)));
+    return parser.parse(bytes);
+}
+
+// Guards against a trailer that is received as a whole escaping the limit: the
+// library throws at a field that it cannot hold.
+TEST(http_codec, trailer_beyond_the_limit_is_malformed)
+{
+    constexpr message_limits large{1U << 20U, 1U << 20U};
+    const std::string head =
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+    const auto parse = [&](const std::string& trailer, bool in_parts)
+    {
+        const auto rest = head + trailer + "\r\n\r\n";
+        request_parser request(large);
+        response_parser response(large, false);
+        const auto part = in_parts ? rest.size() : std::string::npos;
+        const auto state =
+            parse_in_parts(response, "HTTP/1.1 200 OK\r\n" + rest, part);
+        EXPECT_EQ(parse_in_parts(request, "PUT / HTTP/1.1\r\n" + rest, part),
+                  state);
+        return state;
+    };
+    for (const bool in_parts : {false, true})
+    {
+        for (const std::size_t size :
+             {65'533U, 65'534U, 65'535U, 65'536U, 70'000U, 200'000U})
+        {
+            const std::string text(size, 'x');
+            EXPECT_EQ(parse("Name: " + text, in_parts), parse_state::malformed)
+                << size;
+            EXPECT_EQ(parse(text + ": value", in_parts), parse_state::malformed)
+                << size;
+        }
+        EXPECT_EQ(parse("Name: " + std::string(60'000, 'x'), in_parts),
+                  parse_state::complete);
+    }
+}
+
+bool is_rejected(parse_state state)
+{
+    return state != parse_state::incomplete && state != parse_state::complete;
+}
+
+// Guards against the same for parts that the library reads at once: a chunk
+// extension, and a field value that continues on further lines.
+TEST(http_codec, overlong_part_of_a_message_is_not_accepted)
+{
+    constexpr message_limits large{1U << 20U, 1U << 20U};
+    const std::string text(70'000, 'x');
+    for (const auto& rest :
+         {"Transfer-Encoding: chunked\r\n\r\n4;" + text + "\r\nbody",
+          "Transfer-Encoding: chunked\r\n\r\n4;a=\"" + text + "\"\r\nbody",
+          "Name: a\r\n " + text + "\r\n\r\n",
+          "Name: a\r\n " + std::string(20'000, 'y') + "\r\n\r\n"})
+    {
+        request_parser request(large);
+        auto bytes = QByteArray::fromStdString("PUT / HTTP/1.1\r\n" + rest);
+        EXPECT_TRUE(is_rejected(request.parse(bytes)));
+        response_parser response(large, false);
+        bytes = QByteArray::fromStdString("HTTP/1.1 200 OK\r\n" + rest);
+        EXPECT_TRUE(is_rejected(response.parse(bytes)));
+    }
+}
+
+// Guards against a limit on the parts of a message limiting its body.
+TEST(http_codec, body_larger_than_the_header_limit_is_complete)
+{
+    constexpr message_limits small_header{4U << 10U, 1U << 20U};
+    const std::string body(300'000, 'x');
+    request_parser request(small_header);
+    auto bytes = QByteArray::fromStdString(
+        "PUT / HTTP/1.1\r\nContent-Length: 300000\r\n\r\n" + body + "GET");
+    ASSERT_EQ(request.parse(bytes), parse_state::complete);
+    EXPECT_EQ(request.take_message().body, body);
+    EXPECT_EQ(bytes, "GET");
+    response_parser response(small_header, false);
+    bytes = QByteArray::fromStdString(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n493e0\r\n" +
+        body + "\r\n1\r\nz\r\n0\r\n\r\n");
+    ASSERT_EQ(response.parse(bytes), parse_state::complete);
+    EXPECT_EQ(response.take_message().body, body + "z");
+}
+
 } // namespace
 } // namespace jujubespan::http
--- a/src/jujubespan/operators/report.cpp
+++ b/src/jujubespan/operators/report.cpp
@@ -35,6 +35,16 @@
                    static_cast<double>(report.control.*counter));
 }
 
+// Ids of requests may hold any bytes. Those that are no UTF-8 are replaced; the
+// JSON library would throw at them.
+std::string to_text(const nlohmann::json& document)
+{
+    constexpr int indent = 2;
+    return document.dump(indent, ' ', false,
+                         nlohmann::json::error_handler_t::replace) +
+           "\n";
+}
+
 void add_peer_metrics(exposition& out, const node_report& report)
 {
     add_peer_family(out, report, "jujubespan_peer_sent_messages_total",
@@ -184,7 +194,7 @@
         {"reader", report.watches_platform},
         {"upstreams", status.upstreams},
         {"ejected", status.ejected}};
-    return document.dump(2) + "\n";
+    return to_text(document);
 }
 
 std::string to_json(std::span<const engine::decision> decisions)
@@ -203,7 +213,7 @@
                             {"downstream_level", decision.downstream_level},
                             {"depth", decision.depth}});
     }
-    return document.dump(2) + "\n";
+    return to_text(document);
 }
 
 std::string make_status_page()
--- a/src/jujubespan/operators/report_test.cpp
+++ b/src/jujubespan/operators/report_test.cpp
@@ -81,5 +81,16 @@
               std::string::npos);
 }
 
+// Guards against the exception of the JSON library at text that is no UTF-8:
+// the id and the method are those of the request.
+TEST(report, explains_a_decision_on_a_request_with_an_id_of_any_bytes)
+{
+    engine::decision decision;
+    decision.request_id = "r\xff\xfe";
+    decision.method = "/a/\xc3";
+    const std::vector<engine::decision> decisions{decision};
+    EXPECT_NE(to_json(decisions).find("\"r\xef\xbf\xbd"), std::string::npos);
+}
+
 } // namespace
 } // namespace jujubespan::operators
