Leave time in a planned stop to complete what was admitted

With a short grace, requests that arrived late in a planned stop were passed on and cut at its end (reported by operators of other systems).

Cause: requests were admitted for a fixed 2.8 s, and the drain ended 0.7 s before the grace; with a grace of less than 3.5 s the node admitted requests until its end. Queued calls and further attempts could start until the end with any grace.

drain_schedule divides the grace: announcement, end of admission, end of starts, end. After the end of starts the guard returns its queued calls as not run, and the entry makes no further attempt.

--- a/include/jujubespan/mesh/egress.hpp
+++ b/include/jujubespan/mesh/egress.hpp
@@ -107,6 +107,9 @@
     /// @brief Refuses new requests as not run; requests in flight continue.
     void stop_admitting() { stopped_admitting_ = true; }
 
+    /// @brief Makes no further attempt at requests in flight.
+    void stop_attempts() { stopped_attempts_ = true; }
+
     [[nodiscard]] std::uint64_t configuration_version() const
     {
         return table_ ? table_->version() : 0;
@@ -226,6 +229,7 @@
     call_map calls_;
     time_point next_pressure_update_{};
     bool stopped_admitting_{false};
+    bool stopped_attempts_{false};
     allowance_spender* allowances_{nullptr};
     std::map<std::uint64_t, waiting_request> waiting_; // in order of arrival
     std::uint64_t next_waiting_{1};
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -98,6 +98,10 @@
     /// @brief Refuses new calls as not run; calls in progress continue.
     void stop_admitting() { stopped_admitting_ = true; }
 
+    /// @brief Refuses the calls that wait in the queue as not run, so that
+    /// other instances can run them. To be called after `stop_admitting`.
+    void stop_starting(time_point now);
+
     [[nodiscard]] const suspect_requests& suspects() const
     {
         return shared_.suspects;
--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -8,6 +8,7 @@
 #include "jujubespan/mesh/allowance_spender.hpp"
 #include "jujubespan/mesh/egress.hpp"
 #include "jujubespan/mesh/guard.hpp"
+#include "jujubespan/node/drain_schedule.hpp"
 #include "jujubespan/peer/routed_transport.hpp"
 
 #include <absl/status/status.h>
@@ -88,10 +89,10 @@
         guard_.apply(options);
     }
 
-    /// @brief Fails readiness checks from now on; new requests are still
-    /// accepted at first, until load balancers have removed the node.
-    /// `on_drained` runs on the traffic thread once that time has passed and
-    /// no call is in flight, or shortly before `stop_grace` ends.
+    /// @brief Fails readiness checks from now on, and follows the schedule of
+    /// a planned stop: new requests are still accepted at first.
+    /// `on_drained` runs on the traffic thread once none are accepted and no
+    /// call is in flight, or at the end of the schedule.
     void begin_drain(std::function<void()> on_drained);
 
     [[nodiscard]] mesh_report make_report() const;
@@ -118,11 +119,12 @@
     void on_tick();
     void apply_allowances();
     void send_allowance_requests(time_point now);
-    void announce_stop(time_point now);
-    void check_drain_end(time_point now);
+    void advance_drain(time_point now);
+    void check_drain_end(duration elapsed, time_point now);
     [[nodiscard]] bool is_ready() const;
 
     config::mesh_settings options_;
+    drain_schedule drain_;
     QObject context_object_;
     QTimer tick_timer_;
     mesh::mesh_state shared_;
--- a/src/jujubespan/mesh/egress.cpp
+++ b/src/jujubespan/mesh/egress.cpp
@@ -599,7 +599,7 @@
     {
         return false;
     }
-    if (now + min_attempt_time >= call.response_deadline ||
+    if (stopped_attempts_ || now + min_attempt_time >= call.response_deadline ||
         call.tried_instances.size() >= max_attempts_per_request)
     {
         return false;
--- a/src/jujubespan/mesh/egress_test.cpp
+++ b/src/jujubespan/mesh/egress_test.cpp
@@ -475,6 +475,26 @@
     EXPECT_EQ(status(1), 200U);
 }
 
+// Guards against an attempt being sent so late in a planned stop that its end
+// cuts it.
+TEST_F(egress_test, stopping_node_makes_no_late_attempt)
+{
+    configure();
+    request(1, "/pay/1", "id-1");
+    request(2, "/read/2", "id-2");
+    target.stop_admitting();
+    target.stop_attempts();
+    target.on_reply(peers.calls[0].id,
+                    {engine::make_refusal(reason::queue_full, true)}, now);
+    EXPECT_EQ(status(1), 503U) << "has not run";
+    routed_reply failed;
+    failed.answer = engine::make_unknown_outcome(reason::backend_failed);
+    failed.reached_backend = true;
+    target.on_reply(peers.calls[1].id, failed, now);
+    EXPECT_EQ(status(2), 502U) << "may have run";
+    EXPECT_EQ(peers.calls.size(), 2U);
+}
+
 // A request with an objective of 300 ms misses it when it waits at a full
 // guard behind the calls of longer requests of its class.
 TEST_F(egress_test,
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -316,6 +316,22 @@
     backend_.start(id, request);
 }
 
+void guard::stop_starting(time_point now)
+{
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [id, call] : calls_)
+    {
+        if (!call.running)
+        {
+            waiting.push_back(id);
+        }
+    }
+    for (const auto id : waiting)
+    {
+        refuse_call(id, reason::leaving, now);
+    }
+}
+
 void guard::run_queued_calls(time_point now)
 {
     const auto dequeued = gate_.dequeue_ready(now);
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -342,6 +342,23 @@
     EXPECT_EQ(reply(1).result, outcome::answered);
 }
 
+// Guards against a queued call being started so late in a planned stop that its
+// end cuts it.
+TEST_F(guard_test, stopping_node_returns_calls_that_have_not_started)
+{
+    call(1);
+    call(2);
+    call(3);
+    ASSERT_EQ(replies.replies.size(), 0U) << "two running, one queued";
+    target.stop_admitting();
+    target.stop_starting(now);
+    EXPECT_EQ(reply(3).result, outcome::not_run);
+    EXPECT_TRUE(reply(3).elsewhere_may_help);
+    answer(1, 200, {{names.signature, "x"}});
+    EXPECT_EQ(reply(1).result, outcome::answered);
+    EXPECT_FALSE(backend.requests.contains(3));
+}
+
 TEST_F(guard_test, reply_carries_the_slowness_and_the_header)
 {
     call(1);
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -13,16 +13,6 @@
 {
 
 constexpr auto tick_interval = std::chrono::milliseconds(20);
-// A draining node keeps accepting requests for at least this long: load
-// balancers remove it only after several failed readiness checks, sent once a
-// second.
-constexpr duration deregistration_time = std::chrono::milliseconds(2800);
-// Until then a draining node takes calls of other nodes as usual: a service of
-// few instances needs each of them, and the calls end before the drain does.
-constexpr duration stop_announcement_delay = std::chrono::milliseconds(2000);
-// The drain ends this long before `stop_grace`, at whose end the process would
-// be killed.
-constexpr duration stop_safety_margin = std::chrono::milliseconds(700);
 // Fraction of the connections accepted by the backend server. Once that many
 // are open, an idle one is closed before another is opened. The number may
 // exceed the slots of the server.
@@ -133,7 +123,7 @@
 mesh_loop::mesh_loop(const config::mesh_settings& options,
                      const mesh::header_names& names, std::uint64_t incarnation,
                      zmq::context_t& context)
-    : options_(options),
+    : options_(options), drain_(make_drain_schedule(options.stop_grace)),
       backend_(options.backend_address, make_backend_options(options, names)),
       peers_(context, options.call_address,
              options.call_listen_address.value_or(options.call_address),
@@ -287,8 +277,7 @@
     send_allowance_requests(now);
     if (on_drained_)
     {
-        announce_stop(now);
-        check_drain_end(now);
+        advance_drain(now);
     }
 }
 
@@ -305,39 +294,40 @@
     drain_started_at_ = boot_clock::now();
 }
 
-void mesh_loop::announce_stop(time_point now)
+void mesh_loop::advance_drain(time_point now)
 {
-    // Before the drain ends, also with a short `stop_grace`.
-    const duration latest = (options_.stop_grace - stop_safety_margin) / 2;
-    const duration delay =
-        options_.mechanisms.enabled(mechanism::late_stop_announcement)
-            ? std::min(stop_announcement_delay, latest)
-            : duration::zero();
-    if (!stop_announced_ && now - drain_started_at_ >= delay)
+    const duration elapsed = now - drain_started_at_;
+    const bool announces_late =
+        options_.mechanisms.enabled(mechanism::late_stop_announcement);
+    if (!stop_announced_ && (elapsed >= drain_.announcement || !announces_late))
     {
         stop_announced_ = true;
         guard_.begin_drain();
         peers_.announce_leaving();
     }
-}
-
-void mesh_loop::check_drain_end(time_point now)
-{
-    const duration elapsed = now - drain_started_at_;
-    const auto in_flight = egress_.in_flight() + guard_.in_flight();
-    if (elapsed >= deregistration_time)
+    if (elapsed >= drain_.end_of_admission)
     {
-        // Calls accepted from now on might not finish before the process exits.
         egress_.stop_admitting();
         guard_.stop_admitting();
     }
+    if (elapsed >= drain_.end_of_starts)
+    {
+        egress_.stop_attempts();
+        guard_.stop_starting(now);
+    }
+    check_drain_end(elapsed, now);
+}
+
+void mesh_loop::check_drain_end(duration elapsed, time_point now)
+{
+    const auto in_flight = egress_.in_flight() + guard_.in_flight();
     const bool unsent = client_server_.has_unsent_responses();
     if (in_flight > 0 || unsent)
     {
         last_busy_at_ = now;
     }
-    const bool timed_out = elapsed >= options_.stop_grace - stop_safety_margin;
-    if (!timed_out && (elapsed < deregistration_time ||
+    const bool timed_out = elapsed >= drain_.end;
+    if (!timed_out && (elapsed < drain_.end_of_admission ||
                        now - last_busy_at_ < drain_quiet_time))
     {
         return;
--- a/src/jujubespan/node/mesh_loop_test.cpp
+++ b/src/jujubespan/node/mesh_loop_test.cpp
@@ -13,6 +13,7 @@
 #include <QTcpSocket>
 #include <QTimer>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <optional>
@@ -25,8 +26,8 @@
 using testing::free_endpoint;
 using testing::wait_for;
 
-// Responds to every request immediately, or never if `unresponsive` is set. Its
-// process ends on a request for `crashing_target`.
+// Responds to every request after `response_delay`, or never if `unresponsive`
+// is set. Its process ends on a request for `crashing_target`.
 class fake_backend final : public http::request_handler
 {
 public:
@@ -51,10 +52,18 @@
             QTimer::singleShot(0, [this] { server.reset(); });
             return;
         }
-        if (!unresponsive)
+        if (unresponsive)
+        {
+            return;
+        }
+        if (response_delay == std::chrono::milliseconds::zero())
         {
             server->respond(exchange, response);
+            return;
         }
+        QTimer::singleShot(response_delay, &context_object,
+                           [this, exchange]
+                           { server->respond(exchange, response); });
     }
     void on_client_disconnected(std::uint64_t /*exchange*/) override
     {
@@ -65,10 +74,12 @@
     http_response response{
         200, {{mesh::header_names{}.signature, "signed"}}, "body"};
     bool unresponsive{false};
+    std::chrono::milliseconds response_delay{0};
     std::string crashing_target;
     int disconnect_count{0};
     config::endpoint listen_address;
     std::optional<http::server> server; // empty after its end
+    QObject context_object;             // of the delayed responses
 };
 
 class recording_client final : public http::response_handler
@@ -97,9 +108,12 @@
     http::client client;
 };
 
-config::mesh_settings make_settings(const std::string& service)
+config::mesh_settings
+make_settings(const std::string& service,
+              duration stop_grace = config::mesh_settings{}.stop_grace)
 {
     config::mesh_settings settings;
+    settings.stop_grace = stop_grace;
     settings.id = service;
     settings.service = service;
     settings.failure_domain = "zone";
@@ -127,7 +141,9 @@
 class two_nodes : public ::testing::Test
 {
 protected:
-    two_nodes()
+    explicit two_nodes(duration stop_grace = config::mesh_settings{}.stop_grace)
+        : caller_settings{make_settings("front", stop_grace)},
+          callee_settings{make_settings("deep", stop_grace)}
     {
         list->put(make_instance(caller_settings));
         list->put(make_instance(callee_settings));
@@ -188,8 +204,8 @@
         std::make_shared<mesh::configuration>()};
     zmq::context_t context{1};
     std::uint64_t incarnation{0};
-    config::mesh_settings caller_settings{make_settings("front")};
-    config::mesh_settings callee_settings{make_settings("deep")};
+    config::mesh_settings caller_settings;
+    config::mesh_settings callee_settings;
     fake_backend backend{callee_settings.backend_address};
     traffic_thread<mesh_loop> caller_node{
         [this] { return make_loop(caller_settings); }};
@@ -380,6 +396,71 @@
     EXPECT_TRUE(wait_for([&] { return drained.load(); }, 1000));
 }
 
+class two_nodes_with_a_short_grace : public two_nodes
+{
+protected:
+    two_nodes_with_a_short_grace() : two_nodes(std::chrono::seconds(2)) {}
+
+    // Sends requests, as clients do that keep their connections, until a node
+    // has drained. Returns the ids of those that have run without an answer.
+    std::vector<std::string> cut_by_drain(traffic_thread<mesh_loop>& node)
+    {
+        constexpr int request_interval_ms = 80;
+        std::atomic<bool> drained{false};
+        auto& loop = node.loop();
+        loop.run_and_wait([&] { loop.begin_drain([&] { drained = true; }); });
+        std::uint64_t exchange = 0;
+        while (!drained && exchange < 100)
+        {
+            ++exchange;
+            client.client.start(exchange,
+                                request("id-" + std::to_string(exchange)));
+            wait_for([&] { return drained.load(); }, request_interval_ms);
+        }
+        EXPECT_TRUE(drained);
+        std::vector<std::string> cut;
+        for (std::uint64_t i = 1; i <= exchange; ++i)
+        {
+            const auto id = "id-" + std::to_string(i);
+            const bool has_run = std::any_of(
+                backend.requests.begin(), backend.requests.end(),
+                [&](const http_request& seen) {
+                    return find_header(seen.headers,
+                                       mesh::header_names{}.request_id) == id;
+                });
+            served += client.status(i) == 200 ? 1 : 0;
+            refused += client.status(i) == 503 ? 1 : 0;
+            if (has_run && client.status(i) != 200)
+            {
+                cut.push_back(id);
+            }
+        }
+        return cut;
+    }
+
+    int served{0};
+    int refused{0};
+};
+
+// Guards against requests that arrive late in a planned stop being passed on
+// and cut at its end. The time to admit requests did not depend on the grace.
+TEST_F(two_nodes_with_a_short_grace, stop_cuts_no_request_of_its_clients)
+{
+    backend.response_delay = std::chrono::milliseconds(400);
+    EXPECT_EQ(cut_by_drain(caller_node), std::vector<std::string>{});
+    EXPECT_GT(served, 5);
+    EXPECT_GT(refused, 0) << "requests that came too late";
+}
+
+// The same for the calls of other nodes.
+TEST_F(two_nodes_with_a_short_grace, stop_cuts_no_request_of_another_node)
+{
+    backend.response_delay = std::chrono::milliseconds(400);
+    EXPECT_EQ(cut_by_drain(callee_node), std::vector<std::string>{});
+    EXPECT_GT(served, 5);
+    EXPECT_GT(refused, 0) << "requests that came too late";
+}
+
 // Guards against the end of a server not being told to other nodes, and against
 // a node that starts later never learning of it.
 TEST_F(two_nodes, crashing_request_is_quarantined_at_all_nodes)
