Soak: entries of another writer, long trailers, earlier clocks, short grace

Every run now has entries whose addresses are none; some spoiled answers end with a trailer of 60 to 100 KB; half of the servers that restart under their id do so with an earlier clock; a fifth of the seeds stop nodes with a grace of 3 s. The draws of earlier seeds stay as they are, since the new ones come from a generator of their own.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -13,6 +13,11 @@
 MEAN_EXECUTION_S = 0.02
 MAX_TIME_TO_CRASH_S = 0.05
 IDLE_TIMEOUT_S = 8.0
+# Shares of the spoiled responses that end with a very long trailer, and of the
+# restarts under the same id before which the clock is set back.
+LONG_TRAILER_SHARE = 0.3
+CLOCK_SET_BACK_SHARE = 0.5
+MAX_CLOCK_STEP_MS = 6000
 
 
 class Backend:
@@ -25,6 +30,8 @@
         self.store = store
         self.ledger = ledger
         self.random = random.Random(seed)
+        # For draws that must not change those of seeds of earlier failures.
+        self.second_random = random.Random(f"second {seed}")
         self.slow = 1.0     # factor of the execution time
         self.lose = 0.0     # share of the responses that are not sent
         # Share of the responses that are truncated or followed by a second
@@ -47,6 +54,9 @@
         `new_id` tells whether the server gets a new instance id.
         """
         self.started_at_ms = int(time.time() * 1000)
+        if not new_id and self.second_random.random() < CLOCK_SET_BACK_SHARE:
+            self.started_at_ms -= self.second_random.randrange(
+                MAX_CLOCK_STEP_MS)
         if new_id:
             number = next(Backend.instance_numbers)
             self.instance = f"i-{self.config.service}-{number}"
@@ -228,7 +238,19 @@
                 writer.write(data[:self.random.randrange(len(data))])
                 await writer.drain()
                 return False
-            data += data.replace(b"200", b"201", 1)
+            if self.second_random.random() < LONG_TRAILER_SHARE:
+                data = self.with_long_trailer(status, headers, body)
+            else:
+                data += data.replace(b"200", b"201", 1)
         writer.write(data)
         await writer.drain()
         return True
+
+    def with_long_trailer(self, status, headers, body):
+        """Returns a chunked response with a trailer of 60 to 100 KB."""
+        lines = [f"HTTP/1.1 {status} Answer", "Transfer-Encoding: chunked"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        length = self.second_random.randrange(60_000, 100_000)
+        return ("\r\n".join(lines).encode() + b"\r\n\r\n"
+                + b"%x\r\n%s\r\n0\r\n" % (len(body), body)
+                + b"Trace: " + b"a" * length + b"\r\n\r\n")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import random
 import signal
 import time
@@ -16,6 +17,10 @@
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
 UNDISTURBED_CRASHES_S = 12.0
+# Addresses in entries of another program, which are no addresses.
+UNUSABLE_ADDRESSES = (
+    "127.0.0.1\0:8080", "\0:8080", "[127.0.0.1]:8080", "]:8080", ".8:8080",
+    "127.0.0.1:0", "127.0.0.1:8080\0", "[::1\0]:8080", "", ":")
 
 
 class FaultInjector:
@@ -23,6 +28,8 @@
         self.fleet = fleet
         self.ledger = fleet.ledger
         self.random = random.Random(seed)
+        # For draws that must not change those of seeds of earlier failures.
+        self.second_random = random.Random(f"second {seed}")
         # Pairs (aspect, item) that are being disturbed. An item is a node, a
         # backend server, the store or the name of a client setting.
         self.reserved = set()
@@ -53,7 +60,7 @@
     async def run(self, seconds):
         """Starts faults for a time, then waits until all have ended."""
         until = time.monotonic() + seconds
-        tasks = set()
+        tasks = {asyncio.create_task(self.write_unusable_entries(seconds))}
         if self.fleet.organisations is not None:
             tasks.add(asyncio.create_task(
                 self.fleet.organisations.change_keys(self.fleet, seconds)))
@@ -66,6 +73,26 @@
         await self.send_crashing_request(UNDISTURBED_CRASHES_S)
         await asyncio.gather(*self.restart_tasks)
 
+    async def write_unusable_entries(self, seconds):
+        """Writes entries of another program, which name no instance.
+
+        They are no disturbance: nodes must ignore them.
+        """
+        until = time.monotonic() + seconds
+        addresses = itertools.cycle(self.second_random.sample(
+            UNUSABLE_ADDRESSES, len(UNUSABLE_ADDRESSES)))
+        for number, address in enumerate(addresses, 1):
+            await asyncio.sleep(self.second_random.uniform(0.2, 1.2))
+            if time.monotonic() >= until:
+                return
+            entry = platform_store.instance_entry(
+                self.second_random.choice(plan.SERVICES), ("", 0), "z1",
+                plan.BACKEND_SLOTS, int(time.time() * 1000), 1)
+            key = f"{platform_store.INSTANCE_PREFIX}other-{number}"
+            self.fleet.store.put(
+                key, platform_store.with_address(entry, address))
+            self.ledger.add_log_line(f"{key}: address {address!r}")
+
     def reserve_item(self, aspect, items):
         """Reserves a random item whose `aspect` no other fault disturbs.
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -39,6 +39,7 @@
                                                nodes_per_service)
         self.nodes = [Node(config, self.directory, self.ledger,
                            seed * 1000 + config.number,
+                           plan.stop_grace_s(seed),
                            self.organisations is not None)
                       for config in configs]
         self.backends = [Backend(config, self.store, self.ledger,
--- a/soak/node.py
+++ b/soak/node.py
@@ -13,7 +13,6 @@
 
 PROGRAM = pathlib.Path(os.environ.get(
     "NODE", ROOT / "build" / "apps" / "jujubespand"))
-STOP_GRACE_S = 6.0      # from SIGTERM to SIGKILL
 CHECK_INTERVAL_S = 1.0  # between readiness checks
 # Time after the start of a node during which it may not be listening yet.
 # Until it is, SIGTERM may terminate the process instead of making it exit with
@@ -24,7 +23,7 @@
 
 
 class Node:
-    def __init__(self, config, directory, ledger, seed,
+    def __init__(self, config, directory, ledger, seed, stop_grace_s,
                  strict_revocation=False):
         self.config = config
         self.directory = directory
@@ -33,6 +32,7 @@
         self.exit_expected = True
         self.in_rotation = False
         self.first_start = True
+        self.stop_grace_s = stop_grace_s
         self.strict_revocation = strict_revocation
         self.log_level = "info"
         self.call_proxy = Proxy(config.advertised_address("call"),
@@ -63,7 +63,7 @@
             "metrics_address": to_text(config.listen_address("metrics")),
             "backend_address": to_text(config.advertised_address("backend")),
             "discovery_address": to_text(config.advertised_address("store")),
-            "first_start": self.first_start, "stop_grace_s": STOP_GRACE_S,
+            "first_start": self.first_start, "stop_grace_s": self.stop_grace_s,
             "retry_ratio": plan.RETRY_RATIO, "retry_slack": plan.RETRY_SLACK,
             "retry_window_s": plan.RETRY_WINDOW_S,
             **revocation, "log_level": self.log_level}))
@@ -107,7 +107,7 @@
         self.exit_expected = True
         may_be_starting = time.monotonic() - self.started_at < STARTUP_S
         self.send_signal(signal.SIGTERM)
-        until = time.monotonic() + STOP_GRACE_S
+        until = time.monotonic() + self.stop_grace_s
         while self.is_alive() and time.monotonic() < until:
             await asyncio.sleep(0.02)
         clean_codes = (0, -signal.SIGTERM) if may_be_starting else (0,)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -23,6 +23,12 @@
 ORGANISATIONS_DIVISOR = 4
 ORGANISATIONS_REMAINDER = 3
 REVOCATION_BOUND_S = 5.0
+# Time from SIGTERM to SIGKILL. Seeds with this remainder have the short one.
+# Seeds of earlier failures have the usual one.
+STOP_GRACE_S = 6.0
+SHORT_STOP_GRACE_S = 3.0
+SHORT_GRACE_DIVISOR = 5
+SHORT_GRACE_REMAINDER = 2
 
 
 @dataclass
@@ -43,6 +49,12 @@
     return seed % ORGANISATIONS_DIVISOR == ORGANISATIONS_REMAINDER
 
 
+def stop_grace_s(seed):
+    return (SHORT_STOP_GRACE_S
+            if seed % SHORT_GRACE_DIVISOR == SHORT_GRACE_REMAINDER
+            else STOP_GRACE_S)
+
+
 def initial_routes(has_anonymous_route=False):
     routes = [
         Route("view", "shop.example", "/view/", True, {"front": 1}),
