Ignore listed entries of services that the configuration does not name

Cause: of two entries with the same address, the instance directory took the later one for the present server, whatever its service.

The directory now knows the named services, and entries of others are no instances and replace none. Instances of a service that is named anew are published before the configuration that sends requests to them.

The tests of the directory need the new function and do not compile without it.

--- a/include/jujubespan/mesh/configuration.hpp
+++ b/include/jujubespan/mesh/configuration.hpp
@@ -95,6 +95,11 @@
     bool operator==(const configuration&) const = default;
 };
 
+/// @brief Services that a configuration describes or routes requests to, each
+/// once and in order.
+[[nodiscard]] std::vector<std::string>
+named_services(const configuration& value);
+
 /// @brief Finds the route of a request and distributes requests among its
 /// targets.
 class route_table
--- a/include/jujubespan/mesh/instance_directory.hpp
+++ b/include/jujubespan/mesh/instance_directory.hpp
@@ -28,7 +28,8 @@
 ///
 /// An address has one backend server at a time: of two entries with the same
 /// address the one that was created later is valid, and the other counts as
-/// removed.
+/// removed. Entries of a service that the configuration does not name are those
+/// of other programs: they name no instance and replace none.
 ///
 /// While discovery is unavailable, entries expire although their instances are
 /// alive; they reappear soon after it recovers. Removals during and shortly
@@ -39,6 +40,11 @@
     /// @brief Adds or replaces an entry and cancels its deferred removal.
     void put(const instance& item);
 
+    /// @brief Sets the services that the configuration names, in order. Until
+    /// the first call, every service counts as named.
+    /// @return true if they have changed.
+    bool set_services(std::vector<std::string> services);
+
     /// @brief Removes an instance that discovery no longer lists.
     void remove(std::string_view id, time_point now);
 
@@ -64,22 +70,27 @@
     /// @brief The entry of an instance; null when none is listed.
     [[nodiscard]] const instance* find(std::string_view id) const;
 
-    /// @brief The instance whose backend server has this address; null when
-    /// none has.
+    /// @brief The instance of a named service whose backend server has this
+    /// address; null when none has.
     [[nodiscard]] const instance*
     find_by_backend_address(std::string_view backend_address) const;
 
-    /// @brief All instances except those superseded at their address.
+    /// @brief All instances of named services except those superseded at their
+    /// address.
     [[nodiscard]] std::vector<instance> all() const;
     [[nodiscard]] std::size_t size() const { return instances_.size(); }
 
 private:
     [[nodiscard]] bool defers_removals(time_point now) const;
     void erase(const std::string& id);
+    [[nodiscard]] bool is_named(std::string_view service) const;
     [[nodiscard]] bool is_superseded(const instance& item) const;
+    [[nodiscard]] bool is_valid(const instance& item) const;
 
     string_map<instance> instances_;
-    string_map<std::uint64_t> newest_revisions_;     // by backend address
+    std::optional<std::vector<std::string>> services_; // sorted
+    // Revision of the last created entry, by backend address and service.
+    string_map<string_map<std::uint64_t>> newest_revisions_;
     string_map<time_point> pending_removals_;        // due time, by id
     string_map<std::uint64_t> removed_incarnations_; // by id
     std::optional<time_point> interrupted_at_;
--- a/include/jujubespan/node/mesh_control.hpp
+++ b/include/jujubespan/node/mesh_control.hpp
@@ -64,6 +64,7 @@
     void forward(mesh::discovery_update update);
     void update_reading();
     void schedule_publish();
+    void publish_instances();
     void on_tick();
 
     config::mesh_settings options_;
--- a/src/jujubespan/mesh/configuration.cpp
+++ b/src/jujubespan/mesh/configuration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 namespace jujubespan::mesh
 {
@@ -20,6 +21,23 @@
 
 } // namespace
 
+std::vector<std::string> named_services(const configuration& value)
+{
+    std::set<std::string> names;
+    for (const auto& item : value.services)
+    {
+        names.insert(item.name);
+    }
+    for (const auto& item : value.routes)
+    {
+        for (const auto& target : item.targets)
+        {
+            names.insert(target.service);
+        }
+    }
+    return {names.begin(), names.end()};
+}
+
 route_table::route_table(std::shared_ptr<const configuration> source)
     : source_(std::move(source))
 {
--- a/src/jujubespan/mesh/instance_directory.cpp
+++ b/src/jujubespan/mesh/instance_directory.cpp
@@ -1,6 +1,7 @@
 #include "jujubespan/mesh/instance_directory.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace jujubespan::mesh
 {
@@ -27,15 +28,42 @@
         removed_incarnations_.erase(removed);
     }
     instances_[item.id] = item;
-    auto& newest = newest_revisions_[item.backend_address];
+    auto& newest = newest_revisions_[item.backend_address][item.service];
     newest = std::max(newest, item.created_revision);
 }
 
+bool instance_directory::set_services(std::vector<std::string> services)
+{
+    if (services_ == services)
+    {
+        return false;
+    }
+    services_ = std::move(services);
+    return true;
+}
+
+bool instance_directory::is_named(std::string_view service) const
+{
+    return !services_ ||
+           std::binary_search(services_->begin(), services_->end(), service);
+}
+
 bool instance_directory::is_superseded(const instance& item) const
 {
     const auto newest = newest_revisions_.find(item.backend_address);
     return newest != newest_revisions_.end() &&
-           item.created_revision < newest->second;
+           std::any_of(newest->second.begin(), newest->second.end(),
+                       [&](const auto& entry)
+                       {
+                           const auto& [service, revision] = entry;
+                           return item.created_revision < revision &&
+                                  is_named(service);
+                       });
+}
+
+bool instance_directory::is_valid(const instance& item) const
+{
+    return is_named(item.service) && !is_superseded(item);
 }
 
 void instance_directory::remove(std::string_view id, time_point now)
@@ -156,13 +184,13 @@
 const instance* instance_directory::find_by_backend_address(
     std::string_view backend_address) const
 {
-    const auto found = std::find_if(instances_.begin(), instances_.end(),
-                                    [&](const auto& entry)
-                                    {
-                                        return entry.second.backend_address ==
-                                                   backend_address &&
-                                               !is_superseded(entry.second);
-                                    });
+    const auto found = std::find_if(
+        instances_.begin(), instances_.end(),
+        [&](const auto& entry)
+        {
+            const auto& item = entry.second;
+            return item.backend_address == backend_address && is_valid(item);
+        });
     return found == instances_.end() ? nullptr : &found->second;
 }
 
@@ -172,7 +200,7 @@
     result.reserve(instances_.size());
     for (const auto& [id, item] : instances_)
     {
-        if (!is_superseded(item))
+        if (is_valid(item))
         {
             result.push_back(item);
         }
--- a/src/jujubespan/mesh/instance_directory_test.cpp
+++ b/src/jujubespan/mesh/instance_directory_test.cpp
@@ -3,6 +3,8 @@
 
 #include "jujubespan/mesh/instance_directory.hpp"
 
+#include "jujubespan/mesh/configuration.hpp"
+
 #include <gtest/gtest.h>
 
 namespace jujubespan::mesh
@@ -128,5 +130,53 @@
     EXPECT_EQ(list.state("b"), instance_state::removed);
 }
 
+// An entry of another program, such as an agent on the machine of a server.
+instance make_foreign_entry()
+{
+    auto item = make_instance("agent");
+    item.service = "host-agent";
+    item.created_revision = 9;
+    return item;
+}
+
+// Guards against entries of another program taking servers out of use because
+// they list the same address.
+TEST_F(instance_directory_test,
+       entry_of_an_unnamed_service_replaces_no_instance)
+{
+    list.set_services({"s", "t"});
+    list.put(make_foreign_entry());
+    EXPECT_EQ(list.state("a"), instance_state::usable);
+    ASSERT_EQ(list.all().size(), 1U);
+    EXPECT_EQ(list.all()[0].id, "a");
+    EXPECT_EQ(list.find_by_backend_address("10.0.0.1:8080")->id, "a");
+    list.remove("agent", start);
+    EXPECT_EQ(list.state("a"), instance_state::usable);
+}
+
+// The address of a server that has ended may be given to another service, also
+// one that the configuration names only later.
+TEST_F(instance_directory_test, entry_of_a_named_service_replaces_an_instance)
+{
+    list.set_services({"s"});
+    auto next = make_foreign_entry();
+    next.service = "t";
+    list.put(next);
+    EXPECT_EQ(list.state("a"), instance_state::usable);
+    EXPECT_TRUE(list.set_services({"s", "t"}));
+    EXPECT_FALSE(list.set_services({"s", "t"}));
+    EXPECT_EQ(list.state("a"), instance_state::removed);
+    EXPECT_EQ(list.find_by_backend_address("10.0.0.1:8080")->id, "agent");
+}
+
+TEST(named_services, are_described_or_targets_of_routes)
+{
+    configuration value;
+    value.services = {{"b", "", 0}, {"a", "", 0}};
+    value.routes.resize(2);
+    value.routes[0].targets = {{"c", 1}, {"a", 1}};
+    EXPECT_EQ(named_services(value), (std::vector<std::string>{"a", "b", "c"}));
+}
+
 } // namespace
 } // namespace jujubespan::mesh
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -145,6 +145,13 @@
             ? std::optional(from_seconds(seconds(options_.revocation.bound) *
                                          max_confirmed_age_share))
             : std::nullopt);
+    if (directory_.set_services(mesh::named_services(*next)) &&
+        discovery_complete_)
+    {
+        // Before the configuration that sends requests to them.
+        publish_instances();
+        schedule_publish();
+    }
     traffic_.post_task([this, next] { traffic_.apply_configuration(next); });
 }
 
@@ -369,14 +376,17 @@
             publish_scheduled_ = false;
             sharing_.apply(directory_);
             update_reading();
-            auto list =
-                std::make_shared<const mesh::instance_directory>(directory_);
-            traffic_.post_task([this, list]
-                               { traffic_.apply_instances(list); });
+            publish_instances();
         },
         Qt::QueuedConnection);
 }
 
+void mesh_control::publish_instances()
+{
+    auto list = std::make_shared<const mesh::instance_directory>(directory_);
+    traffic_.post_task([this, list] { traffic_.apply_instances(list); });
+}
+
 void mesh_control::on_tick()
 {
     update_reading();
