Do not take a server that reads an upload slowly for a dead one

Cause: the connection to the local server has TCP_USER_TIMEOUT, which the kernel applies also to data that waits for the receive window.

The limit is now suspended while a request of more than 8 KiB is sent, which may exceed the window. Smaller requests and idle connections are watched as before.

--- a/include/jujubespan/http/socket_options.hpp
+++ b/include/jujubespan/http/socket_options.hpp
@@ -16,6 +16,11 @@
 /// an idle connection, keepalive probes within the timeout.
 void enable_dead_peer_detection(QTcpSocket& socket, duration timeout);
 
+/// @brief Limits how long sent data may remain unacknowledged or, since the
+/// peer does not read, unsent.
+/// @param timeout zero: the default of the kernel.
+void limit_unacknowledged_time(QTcpSocket& socket, duration timeout);
+
 } // namespace jujubespan::http
 
 #endif
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -29,6 +29,9 @@
 // Responses to earlier requests that may precede the expected one.
 constexpr unsigned max_skipped_responses = 4;
 constexpr unsigned first_error_status = 400;
+// A request up to this size fits into the receive window of a server that does
+// not read it yet.
+constexpr qsizetype max_unread_bytes = 8 << 10;
 
 // How long the server keeps an idle connection open, from
 // `Keep-Alive: timeout=N`.
@@ -188,9 +191,25 @@
         }
     }
 
+    // A server may read a large request slowly. The kernel counts the time that
+    // data waits for the receive window like that of a dead peer.
+    void adjust_dead_peer_detection()
+    {
+        const auto timeout = owner_.options_.dead_peer_timeout;
+        const bool may_wait = send_buffer_.size() > max_unread_bytes;
+        if (timeout <= duration::zero() || may_wait == may_wait_for_window_)
+        {
+            return;
+        }
+        may_wait_for_window_ = may_wait;
+        limit_unacknowledged_time(*socket_,
+                                  may_wait ? duration::zero() : timeout);
+    }
+
     void send_request()
     {
         request_sent_ = true;
+        adjust_dead_peer_detection();
         send_at_once(*socket_, std::exchange(send_buffer_, {}));
     }
 
@@ -369,6 +388,7 @@
     std::uint64_t exchange_{0};
     bool head_request_{false};
     bool request_sent_{false};
+    bool may_wait_for_window_{false}; // the request
     bool probing_{false};
     unsigned skipped_responses_{0}; // to earlier requests
     std::size_t buffered_bytes_{0}; // part of owner_.buffered_bytes_
--- a/src/jujubespan/http/client_test.cpp
+++ b/src/jujubespan/http/client_test.cpp
@@ -168,6 +168,53 @@
     EXPECT_EQ(target.idle_connection_count(), 0U); // Not reused.
 }
 
+// Guards against a server that pauses while it reads an upload counting as
+// dead: the kernel's limit on unacknowledged data includes data that waits for
+// the server's receive window.
+TEST(http_client, upload_that_the_server_reads_slowly_is_completed)
+{
+    app();
+    constexpr int receive_buffer_bytes = 32 << 10;
+    constexpr int pause_ms = 2500;
+    const std::string body(2U << 20U, 'x');
+    QTcpServer listener;
+    ASSERT_TRUE(listener.listen(QHostAddress::LocalHost));
+    ::setsockopt(static_cast<int>(listener.socketDescriptor()), SOL_SOCKET,
+                 SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
+    qsizetype received = 0;
+    QObject::connect(
+        &listener, &QTcpServer::newConnection, &listener,
+        [&]
+        {
+            auto* socket = listener.nextPendingConnection();
+            socket->setReadBufferSize(1024);
+            QTimer::singleShot(pause_ms, socket,
+                               [socket] { socket->setReadBufferSize(0); });
+            QObject::connect(socket, &QTcpSocket::readyRead, socket,
+                             [&received, &body, socket]
+                             {
+                                 if (socket->readBufferSize() != 0)
+                                 {
+                                     return;
+                                 }
+                                 received += socket->readAll().size();
+                                 if (received >
+                                     static_cast<qsizetype>(body.size()))
+                                 {
+                                     socket->write("HTTP/1.1 204 Done\r\n\r\n");
+                                 }
+                             });
+        });
+    recorder handler;
+    client_options options;
+    options.dead_peer_timeout = 1s;
+    client target({"127.0.0.1", listener.serverPort()}, options, handler);
+    target.start(1, {"PUT", "/", {}, body});
+    ASSERT_TRUE(wait_for([&] { return handler.results.contains(1); }));
+    EXPECT_EQ(handler.results[1].first, exchange_result::answered);
+    EXPECT_EQ(handler.results[1].second.status, 204U);
+}
+
 TEST(http_client, reports_a_refused_connection_as_unreachable)
 {
     recorder handler;
--- a/src/jujubespan/http/socket_options.cpp
+++ b/src/jujubespan/http/socket_options.cpp
@@ -47,8 +47,13 @@
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, interval_s);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, interval_s);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
-    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-               static_cast<int>(milliseconds(timeout)));
+    limit_unacknowledged_time(socket, timeout);
+}
+
+void limit_unacknowledged_time(QTcpSocket& socket, duration timeout)
+{
+    set_option(static_cast<int>(socket.socketDescriptor()), IPPROTO_TCP,
+               TCP_USER_TIMEOUT, static_cast<int>(milliseconds(timeout)));
 }
 
 } // namespace jujubespan::http
