--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import base64
 import hashlib
 import json
 import os
@@ -71,51 +72,60 @@
     def __init__(self, address, seed, record):
         super().__init__(address, seed)
         self.record = record
-        self.reports = {}   # key: (document without sequence, time)
+        self.reported = {}  # key: time of the last report
 
     def put_instance(self, key, document):
-        told = {k: v for k, v in document.items() if k != "sequence"}
-        before = self.reports.get(key)
-        self.reports[key] = (told, time.monotonic())
-        if key in self.items and before and before[0] == told:
-            self.written[key] = time.monotonic()
+        self.reported[key] = time.monotonic()
+        if key in self.items and self.told(self.items[key]) == {
+                k: v for k, v in document.items() if k != "sequence"}:
             return
         self.put(key, document)
-        self.record.add(f"store: {key} is {document['state']}, "
-                        f"revision {self.revision} era {self.era}")
+        self.record.add(f"store: {key} is {document['state']}, sequence "
+                        f"{document['sequence']}, revision {self.revision} "
+                        f"era {self.era}")
+
+    @staticmethod
+    def told(item):
+        document = json.loads(base64.b64decode(item["value"]))
+        document.pop("sequence", None)
+        return document
 
     def remove_instance(self, key, why):
         if key in self.items:
             self.delete(key)
-            self.reports.pop(key, None)
+            self.reported.pop(key, None)
             self.record.add(f"store: {key} is removed ({why}), "
                             f"revision {self.revision} era {self.era}")
 
+    async def respond(self, message):
+        if self.mode == "reset":
+            raise OSError("down")
+        return await super().respond(message)
+
+    def abort_all(self):
+        for writer in list(self.writers):
+            http.abort(writer)
+
     async def expire(self):
         while True:
             await asyncio.sleep(0.1)
             if self.mode != "up":
                 continue
             limit = time.monotonic() - LEASE_S
-            for key in [k for k in self.items if k.startswith("servers/")]:
-                if self.reports.get(key, (None, self.written[key]))[1] < limit:
+            for key in self.instance_keys():
+                if self.reported.setdefault(key, time.monotonic()) < limit:
                     self.remove_instance(key, "silent")
 
+    def instance_keys(self):
+        return [k for k in self.items if k.startswith("servers/")]
+
     def restore(self, age_s):
         """Returns with the content of a copy; leases start anew."""
         self.restore_copy(age_s)
-        now = time.monotonic()
-        for key in self.items:
-            told = self.reports.get(key, (None, 0))[0]
-            self.reports[key] = (told, now)
-            self.written[key] = now
-        # What a living instance reports next is a change for this content.
-        for key in self.reports:
-            self.reports[key] = (None, self.reports[key][1])
+        self.reported = dict.fromkeys(self.instance_keys(), time.monotonic())
         self.mode = "up"
         self.record.add(f"store: back from a copy, revision {self.revision} "
-                        f"era {self.era}, holds "
-                        f"{sorted(k for k in self.items)}")
+                        f"era {self.era}, holds {sorted(self.items)}")
 
 
 class Upstream:
