--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -273,11 +273,22 @@
         return self.lab.store_address
 
     def start(self):
+        settings = self.lab.directory / f"{self.name}.json"
+        settings.write_text(json.dumps(self.settings()))
+        self.first_start = False
+        with open(self.lab.directory / f"{self.name}.log", "ab") as log:
+            self.process = subprocess.Popen(
+                [PROGRAM, "--mesh", str(settings)], cwd=ROOT, stdout=log,
+                stderr=subprocess.STDOUT,
+                env={k: os.environ[k] for k in ("PATH", "HOME", "LANG")
+                     if k in os.environ})
+        self.lab.record.add(f"node {self.name}: starts")
+
+    def settings(self):
+        """The fields of deploy/node.json."""
         def text(address):
             return "%s:%d" % address
-        settings = self.lab.directory / f"{self.name}.json"
-        # The fields of deploy/node.json.
-        settings.write_text(json.dumps({
+        return {
             "id": self.name, "service": self.service,
             "failure_domain": self.zone,
             "client_address": text(self.address("client")),
@@ -288,15 +299,7 @@
             "discovery_address": text(self.store_address()),
             "first_start": self.first_start, "stop_grace_s": 6,
             "max_buffered_bytes": 25165824, "retry_ratio": 0.2,
-            "retry_slack": 49, "retry_window_s": 10}))
-        self.first_start = False
-        with open(self.lab.directory / f"{self.name}.log", "ab") as log:
-            self.process = subprocess.Popen(
-                [PROGRAM, "--mesh", str(settings)], cwd=ROOT, stdout=log,
-                stderr=subprocess.STDOUT,
-                env={k: os.environ[k] for k in ("PATH", "HOME", "LANG")
-                     if k in os.environ})
-        self.lab.record.add(f"node {self.name}: starts")
+            "retry_slack": 49, "retry_window_s": 10}
 
     def signal(self, number):
         if self.process is not None and self.process.poll() is None:
@@ -332,7 +335,7 @@
 
 
 class Lab:
-    def __init__(self, folder, layout, services):
+    def __init__(self, folder, layout, services, machine_type=Machine):
         """`layout` holds the service and the zone of each machine."""
         self.network = draw_network()
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="lab-"))
@@ -340,7 +343,7 @@
         self.store_address = (f"127.{self.network}.0.1", 8309)
         self.store = Store(self.store_address, 1, self.record)
         self.services = services
-        self.machines = [Machine(self, number, service, zone)
+        self.machines = [machine_type(self, number, service, zone)
                          for number, (service, zone) in enumerate(layout)]
         self.upstreams = {}  # machine: its present upstream
         self.tasks = []
@@ -368,11 +371,9 @@
         await self.store.start()
         self.tasks.append(asyncio.create_task(self.store.expire()))
         self.write_configuration(routes)
+        self.upstream_options = upstream_options
         for machine in self.machines:
-            upstream = Upstream(machine, self.store, self.record,
-                                **upstream_options)
-            self.upstreams[machine] = upstream
-            await upstream.start()
+            await self.add_upstream(machine)
             machine.start()
         until = time.monotonic() + 20
         while not all([await m.is_ready() for m in self.machines]):
@@ -381,6 +382,12 @@
             await asyncio.sleep(0.1)
         await asyncio.sleep(4)
 
+    async def add_upstream(self, machine):
+        upstream = Upstream(machine, self.store, self.record,
+                            **self.upstream_options)
+        self.upstreams[machine] = upstream
+        await upstream.start()
+
     def add_client(self, machine, method, host, prefix, per_second,
                    deadline_ms=5000):
         self.tasks.append(asyncio.create_task(self.client(
