--- a/review/10/case.py
+++ b/review/10/case.py
@@ -139,4 +139,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(lab.run(main))
--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -455,3 +455,17 @@
             print("logs in", self.directory)
         else:
             shutil.rmtree(self.directory, ignore_errors=True)
+
+
+def run(main):
+    """Runs a case; it ends its processes also when it is stopped itself."""
+    async def stoppable():
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
+        try:
+            return await main()
+        except asyncio.CancelledError:
+            return 2
+    return asyncio.run(stoppable())
