Test nodes against clients that exhaust memory and descriptors

In a trial of the users, clients that read long answers slowly or sent heads without end ended a process, which had run out of memory.

exhaustion/ starts nodes with lowered limits between stand-ins, lets a small crowd press each face (clients, readiness, metrics, operators, backend servers, calls between nodes), and checks that the process lives, that its memory stays below 160 MiB (the smallest machine of the specification) and its descriptors below the connection limit plus 128, and that an ordinary request is answered afterwards.

--- /dev/null
+++ b/exhaustion/backends_test.py
@@ -0,0 +1,93 @@
+"""Backend servers whose answers are larger than allowed or never end."""
+
+import asyncio
+import unittest
+
+from exhaustion.deployment import encode_request, exchange
+from exhaustion.testcase import ExhaustionTestCase
+
+MIB = 1 << 20
+REQUESTS = 40
+ENDLESS_BYTES = 8 * MIB
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+
+
+class Answers(ExhaustionTestCase):
+    async def press(self, start, block, total_bytes=ENDLESS_BYTES):
+        await self.deploy(max_buffered_bytes=16 * MIB)
+
+        async def answer(message, writer):
+            if message.words[1] != "/front/pressed":
+                return await self.backend.answer_with_size(message, writer)
+            writer.write(start)
+            data = block * ((64 << 10) // len(block))
+            for _ in range(total_bytes // len(data)):
+                writer.write(data)
+                await writer.drain()
+            return False
+        self.backend.answer = answer
+        await asyncio.gather(*[
+            exchange(self.node.address("client"),
+                     encode_request("/front/pressed", f"pressed-{number}"))
+            for number in range(REQUESTS)])
+        await self.check_nodes()
+
+    async def test_header_fields_without_end(self):
+        """The head of an answer never ends."""
+        await self.press(STATUS_LINE, b"Field: " + b"v" * 50 + b"\r\n")
+
+    async def test_one_header_field_without_end(self):
+        """A single field of an answer never ends."""
+        await self.press(STATUS_LINE + b"Field: ", b"v" * 64)
+
+    async def test_empty_lines_without_end(self):
+        """Empty lines before an answer never end."""
+        await self.press(b"", b"\r\n")
+
+    async def test_interim_answers_without_end(self):
+        """Interim answers never end."""
+        await self.press(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    async def test_trailers_without_end(self):
+        """The trailers of an answer never end."""
+        await self.press(
+            STATUS_LINE + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"Field: " + b"v" * 50 + b"\r\n")
+
+    async def test_heads_of_many_short_fields(self):
+        """Parsed fields take many times their size on the wire."""
+        await self.press(STATUS_LINE, b"a:\r\n", 62 << 10)
+
+    async def test_bodies_without_end(self):
+        """Bodies that end with their connection never end."""
+        await self.press(STATUS_LINE + b"\r\n", b"x" * 64, 64 * MIB)
+
+
+class Requests(ExhaustionTestCase):
+    async def test_requests_that_are_not_read(self):
+        """Requests wait for a backend server that reads nothing."""
+        await self.deploy(max_buffered_bytes=16 * MIB, slots=1000)
+        self.backend.stop()
+        stalled = []
+
+        async def accept_only(reader, writer):
+            writer.transport.pause_reading()
+            stalled.append(writer)
+        server = await asyncio.start_server(accept_only, *self.backend.address)
+        self.addCleanup(server.close)
+        body = b"x" * (MIB - 1)
+        for number in range(200):
+            connection = await self.crowd.connect(self.node.address("client"))
+            await self.crowd.send(connection, encode_request(
+                "/front/1", f"unread-{number}", body=body, method="POST"))
+        await asyncio.sleep(1)
+        self.check_resources()
+        server.close()
+        for writer in stalled:
+            writer.transport.abort()
+        await self.backend.start()
+        await self.check_nodes()
+
+
+if __name__ == "__main__":
+    unittest.main()
