--- a/exhaustion/backends_test.py
+++ b/exhaustion/backends_test.py
@@ -63,6 +63,30 @@
         await self.press(STATUS_LINE + b"\r\n", b"x" * 64, 64 * MIB)
 
 
+    async def test_heads_of_many_short_fields_before_a_body_that_stalls(self):
+        """Parsed fields are held until the body is complete."""
+        await self.deploy(max_buffered_bytes=16 * MIB, slots=1000)
+        released = asyncio.Event()
+
+        async def answer(message, writer):
+            if message.words[1] != "/front/stalled":
+                return await self.backend.answer_with_size(message, writer)
+            writer.write(STATUS_LINE + b"Content-Length: 9\r\n"
+                         + b"a:\r\n" * 16_000 + b"\r\nbody")
+            await released.wait()
+            return False
+        self.backend.answer = answer
+        for number in range(150):
+            connection = await self.crowd.connect(self.node.address("client"))
+            await self.crowd.send(connection, encode_request(
+                "/front/stalled", f"stalled-{number}"))
+        await asyncio.sleep(2)
+        try:
+            await self.check_nodes()
+        finally:
+            released.set()
+
+
 class Requests(ExhaustionTestCase):
     async def test_requests_that_are_not_read(self):
         """Requests wait for a backend server that reads nothing."""
--- a/exhaustion/clients_test.py
+++ b/exhaustion/clients_test.py
@@ -125,6 +125,19 @@
             released.set()
 
 
+    async def test_heads_of_many_short_fields_before_a_body_that_stalls(self):
+        """Parsed fields are held until the body is complete."""
+        await self.deploy(max_connections=1400, max_buffered_bytes=16 * MIB)
+        head = encode_request("/front/1", "stalled", {"Content-Length": "9"})
+        head = head.replace(b"Content-Length: 0\r\n", b"")
+        for _ in range(600):
+            connection = await self.crowd.connect(self.node.address("client"))
+            await self.crowd.send(
+                connection, head[:-2] + b"a:\r\n" * 4000 + b"\r\nbody")
+        await asyncio.sleep(1)
+        await self.check_nodes()
+
+
 class Bodies(ExhaustionTestCase):
     async def test_uploads_that_stall(self):
         """Clients that stall take the memory for requests from all others."""
--- a/exhaustion/peers_test.py
+++ b/exhaustion/peers_test.py
@@ -46,6 +46,23 @@
         await self.check_nodes("/middle/")
 
 
+    async def test_calls_that_are_not_read(self):
+        """Calls with long bodies wait for a node that has stopped."""
+        await self.deploy(services=("front", "middle"),
+                          max_buffered_bytes=16 * MIB)
+        stopped = self.deployment.nodes[1]
+        stopped.send_signal(signal.SIGSTOP)
+        body = b"x" * (MIB - 1)
+        for number in range(200):
+            connection = await self.crowd.connect(self.node.address("client"))
+            await self.crowd.send(connection, encode_request(
+                "/middle/1", f"unread-{number}", body=body, method="POST"))
+        await asyncio.sleep(2)
+        self.check_resources()
+        stopped.send_signal(signal.SIGCONT)
+        await self.check_nodes()
+
+
 class Strangers(ExhaustionTestCase):
     async def connect_stranger(self):
         connection = await self.crowd.connect(self.node.address("call"))
@@ -63,6 +80,19 @@
             await self.crowd.send(connection, frame)
         await self.check_nodes()
 
+    async def test_messages_that_arrive_faster_than_they_are_read(self):
+        """Messages of strangers wait in the queues of their connections."""
+        await self.deploy(max_buffered_bytes=4 * MIB)
+        message = (bytes([LONG_FRAME_FLAG]) + struct.pack(">Q", 3 * MIB)
+                   + b"x" * (3 * MIB))
+
+        async def send_messages():
+            connection = await self.connect_stranger()
+            for _ in range(40):
+                await self.crowd.send(connection, message)
+        await asyncio.gather(*[send_messages() for _ in range(8)])
+        await self.check_nodes()
+
     async def test_more_connections_than_allowed(self):
         """Connections of strangers are not limited."""
         await self.deploy(max_connections=16)
