Count unsent responses, and close the slowest reader when memory runs out

Callers saw: 40 clients that asked for 8 MiB each and read nothing brought a node to 280 MiB with max_buffered_bytes at 16 MiB; such clients end a process whose machine has less. 20 clients that pipeline requests for metrics: 272 MiB.

Cause: the server released the bytes of an exchange when it passed the response to QTcpSocket, whose write buffer has no limit and was counted nowhere.

Change: a memory_account counts the bytes of each face and of the process. A connection's charge covers received and unsent bytes until they are gone. When the account is exceeded, the connection is closed whose client has kept the server waiting for longest, so that the answers of clients that read are delivered. A slow client that makes progress is no longer cut by the idle timeout.

--- a/include/jujubespan/http/server.hpp
+++ b/include/jujubespan/http/server.hpp
@@ -3,6 +3,7 @@
 
 #include "jujubespan/config/settings.hpp"
 #include "jujubespan/http/codec.hpp"
+#include "jujubespan/policy/memory_account.hpp"
 #include "jujubespan/policy/time.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -13,6 +14,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace jujubespan::http
@@ -36,14 +38,20 @@
 ///
 /// Handles one request per connection at a time, so that responses are sent in
 /// the order of their requests. Limits apply to the number of connections, the
-/// sizes of headers and bodies, the total size of all unanswered requests, and
-/// the time to receive a request.
-class server
+/// sizes of headers and bodies, the memory of all unanswered requests and
+/// unsent responses, and the time to receive a request.
+///
+/// When the memory is used up, closes the connection whose client has kept the
+/// server waiting for longest.
+class server final : public memory_reclaimer
 {
 public:
     /// @param handler must outlive the server.
-    server(const config::resource_limits& limits, request_handler& handler);
-    ~server();
+    /// @param memory the account of the process, of which the server's memory
+    /// is a part; null: none.
+    server(const config::resource_limits& limits, request_handler& handler,
+           std::shared_ptr<memory_account> memory = nullptr);
+    ~server() override;
 
     /// @return an unavailable status that names the address if it cannot be
     /// bound.
@@ -65,8 +73,13 @@
     /// exchange.
     void begin_drain();
 
-    /// @brief Bytes of all unanswered requests.
-    [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
+    /// @brief Closes the connection whose client has kept the server waiting
+    /// for longest, of those that hold memory. Requests that were passed on to
+    /// the handler are not affected.
+    bool reclaim() override { return close_longest_waiting(nullptr); }
+
+    /// @brief Bytes of all unanswered requests and unsent responses.
+    [[nodiscard]] std::size_t buffered_bytes() const { return memory_.used(); }
     /// @brief True while a part of a response waits for its client to read.
     [[nodiscard]] bool has_unsent_responses() const;
 
@@ -82,13 +95,17 @@
     void close_expired_connections();
     [[nodiscard]] std::vector<server_connection*> all_connections() const;
     void remove_connection(server_connection* connection);
+    /// @param except a connection that is kept; null: none.
+    /// @return false if there was no connection to close.
+    bool close_longest_waiting(const server_connection* except);
 
     config::resource_limits limits_;
     request_handler& handler_;
+    std::string address_text_; // for the log
     QTcpServer listener_;
     QTimer expiry_timer_;
     bool close_after_response_{false};
-    std::size_t buffered_bytes_{0}; // of unanswered requests
+    memory_account memory_;
     std::uint64_t next_exchange_{1};
     absl::flat_hash_map<server_connection*, std::unique_ptr<server_connection>>
         connections_;
--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -97,6 +97,12 @@
 
     [[nodiscard]] mesh_report make_report() const;
 
+    /// @brief The memory that messages occupy in the process.
+    [[nodiscard]] const std::shared_ptr<memory_account>& memory() const
+    {
+        return memory_;
+    }
+
 private:
     // Answers the readiness checks of load balancers.
     class readiness_handler final : public http::request_handler
@@ -124,6 +130,7 @@
     [[nodiscard]] bool is_ready() const;
 
     config::mesh_settings options_;
+    std::shared_ptr<memory_account> memory_;
     drain_schedule drain_;
     QObject context_object_;
     QTimer tick_timer_;
--- a/include/jujubespan/policy/http_message.hpp
+++ b/include/jujubespan/policy/http_message.hpp
@@ -54,6 +54,10 @@
 /// @brief Path of a request target: the part before `?`.
 std::string_view path_of(std::string_view target);
 
+/// @brief Memory that a request occupies, in bytes. A header field of two bytes
+/// occupies a multiple of them.
+std::size_t memory_size(const http_request& request);
+
 /// @brief Total size of the header names, header values and body in bytes.
 std::size_t byte_size(const http_response& response);
 
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -1,6 +1,7 @@
 #include "jujubespan/http/server.hpp"
 
 #include "jujubespan/http/socket_buffers.hpp"
+#include "jujubespan/metrics/log.hpp"
 
 #include <fmt/format.h>
 
@@ -9,6 +10,7 @@
 #include <QTcpSocket>
 
 #include <algorithm>
+#include <optional>
 #include <sys/socket.h>
 #include <vector>
 
@@ -49,7 +51,7 @@
 public:
     server_connection(server& owner, QTcpSocket* socket)
         : owner_(owner), socket_(socket), parser_(limits()),
-          last_activity_(boot_clock::now())
+          charge_(owner.memory_), last_activity_(boot_clock::now())
     {
         socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
         // Limits the data that Qt reads ahead of the current request; the rest
@@ -60,6 +62,10 @@
                          [this] { on_readable(); });
         QObject::connect(socket_, &QTcpSocket::disconnected, &context_object_,
                          [this] { owner_.remove_connection(this); });
+        // Queued, since bytes are also written while a response is passed on.
+        QObject::connect(
+            socket_, &QTcpSocket::bytesWritten, &context_object_,
+            [this] { on_bytes_written(); }, Qt::QueuedConnection);
     }
 
     server_connection(const server_connection&) = delete;
@@ -67,8 +73,9 @@
 
     ~server_connection()
     {
-        release_buffered_bytes();
         socket_->disconnect();
+        socket_
+            ->abort(); // Releases the unsent bytes before `deleteLater` does.
         socket_->deleteLater();
         if (exchange_ != 0)
         {
@@ -86,12 +93,14 @@
         }
         if (exchange_ != 0 || closing_)
         {
+            update_charge();
             return; // A pipelined request stays in the socket's buffer.
         }
         last_activity_ = boot_clock::now();
-        add_buffered_bytes(static_cast<std::size_t>(
-            append_received(*socket_, receive_buffer_)));
-        if (owner_.buffered_bytes_ > owner_.limits_.max_buffered_bytes)
+        request_bytes_ += static_cast<std::size_t>(
+            append_received(*socket_, receive_buffer_));
+        update_charge();
+        if (!make_room())
         {
             reject(service_unavailable, "max-buffered-bytes");
             return;
@@ -104,12 +113,14 @@
         const bool keep_open = keep_alive_ && !owner_.close_after_response_;
         exchange_ = 0;
         last_activity_ = boot_clock::now();
-        release_buffered_bytes();
-        add_buffered_bytes(static_cast<std::size_t>(receive_buffer_.size()));
+        request_bytes_ = static_cast<std::size_t>(receive_buffer_.size());
+        response_started_at_ = last_activity_;
         if (!send(serialize(response, keep_open, head_request_)))
         {
             return;
         }
+        update_charge();
+        make_room();
         if (!keep_open)
         {
             close_after_write();
@@ -125,6 +136,17 @@
         }
     }
 
+    // When the client began to keep the server waiting for it to read a
+    // response. Empty if it does not.
+    [[nodiscard]] std::optional<time_point> waiting_since() const
+    {
+        if (exchange_ == 0 && has_unsent_bytes())
+        {
+            return response_started_at_;
+        }
+        return std::nullopt;
+    }
+
     // Rejects a request that is not received in time. Returns true if the
     // connection has timed out and must be removed.
     bool check_timeouts(time_point now)
@@ -134,6 +156,7 @@
             return false;
         }
         const auto& limits = owner_.limits_;
+        // A slow client makes progress each time that it reads.
         const duration idle_time = now - last_activity_;
         if (discarding_ && now - discarding_since_ > max_discard_time)
         {
@@ -152,11 +175,13 @@
         return !parser_.has_started() && idle_time > limits.idle_timeout;
     }
 
-    [[nodiscard]] bool has_unsent_bytes() const
+    [[nodiscard]] std::size_t unsent_bytes() const
     {
-        return socket_->bytesToWrite() > 0;
+        return static_cast<std::size_t>(socket_->bytesToWrite());
     }
 
+    [[nodiscard]] bool has_unsent_bytes() const { return unsent_bytes() > 0; }
+
     void close_if_idle()
     {
         if (exchange_ == 0 && !parser_.has_started())
@@ -234,16 +259,30 @@
         owner_.handler_.on_request(exchange_, std::move(request));
     }
 
-    void add_buffered_bytes(std::size_t bytes)
+    void on_bytes_written()
     {
-        own_buffered_bytes_ += bytes;
-        owner_.buffered_bytes_ += bytes;
+        last_activity_ = boot_clock::now();
+        update_charge();
+    }
+
+    void update_charge()
+    {
+        charge_.set(request_bytes_ +
+                    static_cast<std::size_t>(socket_->bytesAvailable()) +
+                    static_cast<std::size_t>(socket_->bytesToWrite()));
     }
 
-    void release_buffered_bytes()
+    // Closes other connections until the limits are kept.
+    bool make_room()
     {
-        owner_.buffered_bytes_ -= own_buffered_bytes_;
-        own_buffered_bytes_ = 0;
+        while (!owner_.memory_.has_room(0))
+        {
+            if (!owner_.close_longest_waiting(this))
+            {
+                return false;
+            }
+        }
+        return true;
     }
 
     // If the client has reset the connection, Qt reports the disconnection
@@ -260,21 +299,23 @@
     // the client closes.
     void discard_input()
     {
-        release_buffered_bytes();
+        request_bytes_ = 0;
         receive_buffer_.clear();
         closing_ = true;
         discarding_ = true;
         discarding_since_ = boot_clock::now();
         ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
         socket_->readAll();
+        update_charge();
     }
 
     void close_after_write()
     {
-        release_buffered_bytes();
+        request_bytes_ = 0;
         closing_ = true;
         receive_buffer_.clear();
-        socket_->disconnectFromHost();
+        update_charge();
+        socket_->disconnectFromHost(); // May destroy this connection.
     }
 
     server& owner_;
@@ -284,7 +325,8 @@
     QObject context_object_;
     request_parser parser_;
     QByteArray receive_buffer_;
-    std::size_t own_buffered_bytes_{0}; // part of owner_.buffered_bytes_
+    memory_charge charge_;
+    std::size_t request_bytes_{0}; // Received, and not yet answered.
     std::uint64_t exchange_{0};
     bool keep_alive_{true};
     bool head_request_{false};
@@ -294,10 +336,13 @@
     bool continue_sent_{false};
     time_point last_activity_;
     time_point request_started_at_{};
+    time_point response_started_at_{};
 };
 
-server::server(const config::resource_limits& limits, request_handler& handler)
-    : limits_(limits), handler_(handler)
+server::server(const config::resource_limits& limits, request_handler& handler,
+               std::shared_ptr<memory_account> memory)
+    : limits_(limits), handler_(handler),
+      memory_(limits.max_buffered_bytes, std::move(memory))
 {
     QObject::connect(&listener_, &QTcpServer::newConnection, &listener_,
                      [this] { accept_connections(); });
@@ -324,6 +369,7 @@
             fmt::format("cannot listen on {}: {}", config::to_string(address),
                         listener_.errorString().toStdString()));
     }
+    address_text_ = config::to_string(address);
     expiry_timer_.start(expiry_check_interval);
     return absl::OkStatus();
 }
@@ -403,6 +449,30 @@
     }
 }
 
+bool server::close_longest_waiting(const server_connection* except)
+{
+    server_connection* longest = nullptr;
+    std::optional<time_point> earliest;
+    for (const auto& [connection, owned] : connections_)
+    {
+        const auto since = connection->waiting_since();
+        if (connection != except && since && (!earliest || *since < *earliest))
+        {
+            longest = connection;
+            earliest = since;
+        }
+    }
+    if (longest == nullptr)
+    {
+        return false;
+    }
+    log(log_level::warn, "slow_client_closed",
+        "address={} unsent_bytes={} waiting_ms={}", address_text_,
+        longest->unsent_bytes(), milliseconds(boot_clock::now() - *earliest));
+    remove_connection(longest);
+    return true;
+}
+
 void server::begin_drain()
 {
     close_after_response_ = true;
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -178,6 +178,37 @@
     EXPECT_TRUE(wait_for([&] { return handler.requests.size() == 2; }));
 }
 
+// Unsent responses were not counted, so that slow clients could use up the
+// memory of the process.
+TEST_F(http_server, longest_unread_response_makes_room_for_others)
+{
+    limits.max_buffered_bytes = 8U << 20U;
+    limits.max_connections = 10;
+    server bounded(limits, handler);
+    address = free_endpoint();
+    ASSERT_TRUE(bounded.listen(address).ok());
+    const std::string body(6U << 20U, 'x');
+    std::vector<int> clients;
+    for (std::size_t i = 1; i <= 8; ++i)
+    {
+        clients.push_back(open_raw_connection());
+        ::send(clients.back(), "GET / HTTP/1.1\r\n\r\n", 18, 0);
+        ASSERT_TRUE(wait_for([&] { return handler.requests.size() == i; }));
+        bounded.respond(i, {200, {}, body});
+        EXPECT_LE(bounded.buffered_bytes(), limits.max_buffered_bytes);
+    }
+    EXPECT_LT(bounded.connection_count(), 8U);
+    auto reader = connect("GET / HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(wait_for([&] { return handler.requests.size() == 9; }));
+    bounded.respond(9, {200, {}, body});
+    EXPECT_TRUE(wait_for(
+        [&] { return reader->bytesAvailable() > qint64(body.size()); }));
+    for (const int client : clients)
+    {
+        ::close(client);
+    }
+}
+
 // A server that closes a connection with unread data resets it, and the client
 // may lose the rejection.
 TEST_F(http_server, client_that_is_still_sending_receives_the_rejection)
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -52,6 +52,16 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 
+// A report has about 10 KB.
+constexpr std::size_t max_metrics_bytes = 2U << 20U;
+
+config::resource_limits make_metrics_limits()
+{
+    config::resource_limits limits;
+    limits.max_buffered_bytes = max_metrics_bytes;
+    return limits;
+}
+
 QDateTime modification_time(const std::string& file)
 {
     QFileInfo info(QString::fromStdString(file));
@@ -90,7 +100,7 @@
     : options_(options), settings_file_(std::move(settings_file)),
       settings_modified_at_(modification_time(settings_file_)),
       traffic_(traffic), sharing_(config::to_string(options.backend_address)),
-      metrics_server_(config::resource_limits{}, *this)
+      metrics_server_(make_metrics_limits(), *this, traffic.memory())
 {
     QObject::connect(&tick_timer_, &QTimer::timeout, &context_object_,
                      [this] { on_tick(); });
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -28,6 +28,10 @@
 constexpr duration backend_dead_peer_timeout = std::chrono::seconds(2);
 constexpr std::size_t backend_max_body_bytes = 64U << 20U;
 constexpr std::size_t backend_max_header_bytes = 64U << 10U;
+// The clients, the backend server and the other nodes may each hold
+// `max_buffered_bytes`, but all of them together only twice as much: a request
+// that is passed on is held twice, by its sender and by its receiver.
+constexpr std::size_t memory_accounts_per_process = 2;
 // Lower bound of the receive timeout, which covers the whole request and not
 // only its header.
 constexpr duration min_receive_timeout = std::chrono::seconds(30);
@@ -123,7 +127,10 @@
 mesh_loop::mesh_loop(const config::mesh_settings& options,
                      const mesh::header_names& names, std::uint64_t incarnation,
                      zmq::context_t& context)
-    : options_(options), drain_(make_drain_schedule(options.stop_grace)),
+    : options_(options),
+      memory_(std::make_shared<memory_account>(memory_accounts_per_process *
+                                               options.max_buffered_bytes)),
+      drain_(make_drain_schedule(options.stop_grace)),
       backend_(options.backend_address, make_backend_options(options, names)),
       peers_(context, options.call_address,
              options.call_listen_address.value_or(options.call_address),
@@ -135,9 +142,10 @@
              boot_clock::now()),
       egress_(make_egress_options(options, names), shared_, *this, peers_,
               incarnation),
-      client_server_(make_client_limits(options, {}), *this),
+      client_server_(make_client_limits(options, {}), *this, memory_),
       readiness_handler_(*this),
-      readiness_server_(make_client_limits(options, {}), readiness_handler_)
+      readiness_server_(make_client_limits(options, {}), readiness_handler_,
+                        memory_)
 {
     shared_.mechanisms = options.mechanisms;
     shared_.admission.set_mechanisms(options.mechanisms);
