Read the next request after the previous response has been sent

Callers saw: one client that pipelines 40 requests for 8 MiB and reads nothing brought a node to 368 MiB; since unsent responses are counted, such a client is refused with 503 and cut, also when it reads its answers later.

Cause: a pipelined request was taken up as soon as the response to the one before it had been passed to the socket.

Change: a connection takes up its next request when all bytes of the previous response have been sent. Until then its requests stay in the kernel.

--- a/exhaustion/clients_test.py
+++ b/exhaustion/clients_test.py
@@ -51,6 +51,17 @@
         await self.check_nodes()
 
 
+    async def test_one_connection_whose_answers_are_not_read(self):
+        """One client alone exceeds the memory for all of them."""
+        await self.deploy(max_buffered_bytes=16 * MIB)
+        connection = await self.crowd.connect(self.node.address("client"))
+        for request in range(40):
+            await self.crowd.send(connection, encode_request(
+                f"/front/{8 * MIB}", f"pipelined-{request}"), 1.0)
+        await asyncio.sleep(3)  # Until the node has answered what it reads.
+        await self.check_nodes()
+
+
 class Heads(ExhaustionTestCase):
     CLIENTS = 40
 
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -91,10 +91,12 @@
             socket_->readAll();
             return;
         }
-        if (exchange_ != 0 || closing_)
+        // A pipelined request stays in the socket's buffer, also until the
+        // client has read the previous response.
+        if (exchange_ != 0 || closing_ || has_unsent_bytes())
         {
             update_charge();
-            return; // A pipelined request stays in the socket's buffer.
+            return;
         }
         last_activity_ = boot_clock::now();
         request_bytes_ += static_cast<std::size_t>(
@@ -127,7 +129,7 @@
             return;
         }
         parser_ = request_parser(limits());
-        if (!receive_buffer_.isEmpty() || socket_->bytesAvailable() > 0)
+        if (has_received_bytes())
         {
             // Queued, so that the handler is not re-entered from its own call.
             QMetaObject::invokeMethod(
@@ -263,6 +265,15 @@
     {
         last_activity_ = boot_clock::now();
         update_charge();
+        if (!has_unsent_bytes() && has_received_bytes())
+        {
+            on_readable(); // May destroy this connection.
+        }
+    }
+
+    [[nodiscard]] bool has_received_bytes() const
+    {
+        return !receive_buffer_.isEmpty() || socket_->bytesAvailable() > 0;
     }
 
     void update_charge()
