Count the memory of parsed header fields, and refuse large requests first

Callers saw: 600 requests with heads of 16 KB, within the limits, brought a node to 180 MiB while a slow backend server held them, and to 213 MiB when their bodies stalled, with max_buffered_bytes at 16 MiB. 40 stalled uploads of 512 KB kept all others out with 503.

Cause: a request was charged with the bytes received. A field of two bytes occupies 64 bytes in a request and 80 in the parser, so 16 KB become 300 KB. A refused request released its bytes, but not its parser.

Change: the charge is the memory of the parser's fields and, once the request is complete, of the request. Before a request is passed on, it must leave as much room as it takes, up to an eighth of the limit, so that ordinary requests are served while large ones fill the memory. A refusal releases the parser.

--- a/include/jujubespan/http/codec.hpp
+++ b/include/jujubespan/http/codec.hpp
@@ -46,6 +46,9 @@
     /// `complete`.
     http_request take_message();
 
+    /// @brief Memory of the parsed header fields in addition to their bytes.
+    /// Zero until the header is complete.
+    [[nodiscard]] std::size_t field_memory() const;
     [[nodiscard]] bool keep_alive() const;
     /// @brief True once a byte of the request has been received.
     [[nodiscard]] bool has_started() const;
@@ -87,6 +90,9 @@
     /// has returned `complete`.
     http_response take_message();
 
+    /// @brief Memory of the parsed header fields in addition to their bytes.
+    /// Zero until the header is complete.
+    [[nodiscard]] std::size_t field_memory() const;
     [[nodiscard]] bool keep_alive() const;
     [[nodiscard]] std::string error_message() const;
 
--- a/src/jujubespan/http/codec.cpp
+++ b/src/jujubespan/http/codec.cpp
@@ -178,6 +178,17 @@
     }
 }
 
+// Memory of the fields that the parser holds, apart from their bytes: each is
+// an object in a list and an ordered set.
+template <bool is_request>
+std::size_t parsed_field_memory(const parser<is_request>& message_parser)
+{
+    constexpr std::size_t bytes_per_field = 80;
+    const auto& fields = message_parser.get().base();
+    return bytes_per_field * static_cast<std::size_t>(
+                                 std::distance(fields.begin(), fields.end()));
+}
+
 bool has_no_body(unsigned status)
 {
     constexpr unsigned no_content = 204;
@@ -193,6 +204,7 @@
     message_limits limits;
     parser<true> message_parser;
     bool started{false};
+    std::size_t field_memory{0};
     std::string error_message;
 };
 
@@ -213,8 +225,18 @@
 parse_state request_parser::parse(QByteArray& buffer)
 {
     state_->started = state_->started || !buffer.isEmpty();
-    return parse_buffer(state_->message_parser, buffer, state_->limits,
-                        state_->error_message);
+    const auto result = parse_buffer(state_->message_parser, buffer,
+                                     state_->limits, state_->error_message);
+    if (state_->field_memory == 0 && state_->message_parser.is_header_done())
+    {
+        state_->field_memory = parsed_field_memory(state_->message_parser);
+    }
+    return result;
+}
+
+std::size_t request_parser::field_memory() const
+{
+    return state_->field_memory;
 }
 
 http_request request_parser::take_message()
@@ -265,11 +287,13 @@
     bool close_delimited;
     unsigned interim_responses{0};
     std::optional<parser<false>> message_parser;
+    std::size_t field_memory{0};
     std::string error_message;
 
     void reset()
     {
         message_parser.emplace();
+        field_memory = 0;
         message_parser->skip(head_request);
         set_limits(*message_parser, limits);
     }
@@ -291,6 +315,10 @@
         const auto result = parse_buffer(*state_->message_parser, buffer,
                                          state_->limits, state_->error_message);
         const auto& message_parser = *state_->message_parser;
+        if (state_->field_memory == 0 && message_parser.is_header_done())
+        {
+            state_->field_memory = parsed_field_memory(message_parser);
+        }
         if (result == parse_state::complete &&
             message_parser.get().result_int() < first_final_status)
         {
@@ -317,6 +345,11 @@
     }
 }
 
+std::size_t response_parser::field_memory() const
+{
+    return state_->field_memory;
+}
+
 bool response_parser::is_close_delimited() const
 {
     const auto& message_parser = *state_->message_parser;
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -24,6 +24,8 @@
 constexpr auto expiry_check_interval = std::chrono::milliseconds(100);
 // Time for a client to stop sending a request that was rejected.
 constexpr duration max_discard_time = std::chrono::seconds(2);
+// Share of the memory that large requests leave to others.
+constexpr std::size_t reserve_divisor = 8;
 constexpr unsigned bad_request = 400;
 constexpr unsigned request_timeout = 408;
 constexpr unsigned payload_too_large = 413;
@@ -101,12 +103,6 @@
         last_activity_ = boot_clock::now();
         request_bytes_ += static_cast<std::size_t>(
             append_received(*socket_, receive_buffer_));
-        update_charge();
-        if (!make_room())
-        {
-            reject(service_unavailable, "max-buffered-bytes");
-            return;
-        }
         parse_request(); // May destroy this connection.
     }
 
@@ -122,7 +118,7 @@
             return;
         }
         update_charge();
-        make_room();
+        make_room(0);
         if (!keep_open)
         {
             close_after_write();
@@ -222,10 +218,18 @@
         {
             request_started_at_ = last_activity_;
         }
-        switch (parser_.parse(receive_buffer_))
+        const auto earlier_field_memory = parser_.field_memory();
+        const auto state = parser_.parse(receive_buffer_);
+        request_bytes_ += parser_.field_memory() - earlier_field_memory;
+        switch (state)
         {
         case parse_state::incomplete:
-            if (parser_.expects_continue() && !continue_sent_)
+            update_charge();
+            if (!make_room_for_request())
+            {
+                reject(service_unavailable, "max-buffered-bytes");
+            }
+            else if (parser_.expects_continue() && !continue_sent_)
             {
                 continue_sent_ = true;
                 socket_->write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -256,6 +260,14 @@
         }
         http_request request = parser_.take_message();
         head_request_ = request.method == "HEAD";
+        request_bytes_ = memory_size(request) +
+                         static_cast<std::size_t>(receive_buffer_.size());
+        update_charge();
+        if (!make_room_for_request())
+        {
+            reject(service_unavailable, "max-buffered-bytes");
+            return;
+        }
         exchange_ = owner_.next_exchange_++;
         owner_.exchanges_[exchange_] = this;
         owner_.handler_.on_request(exchange_, std::move(request));
@@ -283,10 +295,18 @@
                     static_cast<std::size_t>(socket_->bytesToWrite()));
     }
 
-    // Closes other connections until the limits are kept.
-    bool make_room()
+    // A request leaves as much room as it takes, so that large ones are
+    // refused first and small ones are still served.
+    bool make_room_for_request()
     {
-        while (!owner_.memory_.has_room(0))
+        const auto reserve = owner_.memory_.limit() / reserve_divisor;
+        return make_room(std::min(charge_.bytes(), reserve));
+    }
+
+    // Closes other connections until the limits leave room for some bytes.
+    bool make_room(std::size_t bytes)
+    {
+        while (!owner_.memory_.has_room(bytes))
         {
             if (!owner_.close_longest_waiting(this))
             {
@@ -305,13 +325,19 @@
         return !context.isNull();
     }
 
+    void release_request()
+    {
+        request_bytes_ = 0;
+        receive_buffer_.clear();
+        parser_ = request_parser(limits());
+    }
+
     // Closing a connection with unread data resets it, and the client loses the
     // response. The rest of the request is therefore received and dropped until
     // the client closes.
     void discard_input()
     {
-        request_bytes_ = 0;
-        receive_buffer_.clear();
+        release_request();
         closing_ = true;
         discarding_ = true;
         discarding_since_ = boot_clock::now();
@@ -322,9 +348,8 @@
 
     void close_after_write()
     {
-        request_bytes_ = 0;
+        release_request();
         closing_ = true;
-        receive_buffer_.clear();
         update_charge();
         socket_->disconnectFromHost(); // May destroy this connection.
     }
