Refuse the request that has been incomplete for longest when memory runs out

Callers saw: 320 clients that stall within small heads use up a memory of 1 MiB, and all others get 503 until the receive timeout of 30 s has passed.

Cause: only clients that do not read were closed to make room. An incomplete request held its memory until its timeout, whoever waited.

Change: incomplete requests are also candidates. The one that began first is answered with 503, which is true since it was not passed on.

--- a/exhaustion/clients_test.py
+++ b/exhaustion/clients_test.py
@@ -162,6 +162,19 @@
         await self.check_nodes()
 
 
+    async def test_heads_that_stall(self):
+        """Clients that stall within small heads keep all others out."""
+        await self.deploy(max_buffered_bytes=MIB)
+        for size in (15_000, 4000, 1000, 200):
+            for _ in range(80):
+                connection = await self.crowd.connect(
+                    self.node.address("client"))
+                await self.crowd.send(
+                    connection, REQUEST_LINE + b"Field: " + b"v" * size)
+        await asyncio.sleep(1)
+        await self.check_nodes()
+
+
 class Connections(ExhaustionTestCase):
     LIMIT = 16
     CLIENTS = 300
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -135,13 +135,21 @@
     }
 
     // When the client began to keep the server waiting for it to read a
-    // response. Empty if it does not.
+    // response or to send the rest of a request. Empty if it does not.
     [[nodiscard]] std::optional<time_point> waiting_since() const
     {
-        if (exchange_ == 0 && has_unsent_bytes())
+        if (exchange_ != 0)
+        {
+            return std::nullopt;
+        }
+        if (has_unsent_bytes())
         {
             return response_started_at_;
         }
+        if (!closing_ && parser_.has_started())
+        {
+            return request_started_at_;
+        }
         return std::nullopt;
     }
 
@@ -505,7 +513,14 @@
     log(log_level::warn, "slow_client_closed",
         "address={} unsent_bytes={} waiting_ms={}", address_text_,
         longest->unsent_bytes(), milliseconds(boot_clock::now() - *earliest));
-    remove_connection(longest);
+    if (longest->has_unsent_bytes())
+    {
+        remove_connection(longest);
+    }
+    else
+    {
+        longest->reject(service_unavailable, "max-buffered-bytes");
+    }
     return true;
 }
 
