Keep the limit of connections, and close the longest idle one at the limit

Callers saw: 300 connections to a node with max_connections at 16 held 318 descriptors, and 16 idle ones kept all others out with 503 until the idle timeout.

Cause: a connection beyond the limit was kept for up to two seconds to deliver its refusal, without a limit of its own. Nothing made room at the limit.

Change: at the limit the connection on which no request is in progress and whose client has been idle, or kept the server waiting, for longest is closed. If requests are in progress on all of them, 64 more connections are answered with 503, and others are closed before anything is read.

Evidence: Connections.test_more_connections_than_allowed, the same to readiness, and test_idle_connections_up_to_the_limit were red and pass.

--- a/include/jujubespan/http/server.hpp
+++ b/include/jujubespan/http/server.hpp
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,7 +43,8 @@
 /// unsent responses, and the time to receive a request.
 ///
 /// When the memory is used up, closes the connection whose client has kept the
-/// server waiting for longest.
+/// server waiting for longest. At the limit of connections, closes the one that
+/// has been idle for longest.
 class server final : public memory_reclaimer
 {
 public:
@@ -98,6 +100,15 @@
     /// @param except a connection that is kept; null: none.
     /// @return false if there was no connection to close.
     bool close_longest_waiting(const server_connection* except);
+    /// @return false if a request is in progress on every connection.
+    bool close_longest_idle();
+    /// @brief The connection with the earliest of the times that `since`
+    /// returns; null if it returns none.
+    /// @param except a connection that is left out; null: none.
+    [[nodiscard]] server_connection*
+    find_earliest(const server_connection* except,
+                  std::optional<time_point> (server_connection::*since)()
+                      const) const;
 
     config::resource_limits limits_;
     request_handler& handler_;
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -24,6 +24,8 @@
 constexpr auto expiry_check_interval = std::chrono::milliseconds(100);
 // Time for a client to stop sending a request that was rejected.
 constexpr duration max_discard_time = std::chrono::seconds(2);
+// Connections beyond the limit that are told so; others are closed.
+constexpr std::size_t max_rejections = 64;
 // Share of the memory that large requests leave to others.
 constexpr std::size_t reserve_divisor = 8;
 constexpr unsigned bad_request = 400;
@@ -153,6 +155,14 @@
         return std::nullopt;
     }
 
+    // When the client did something last, while no request is in progress.
+    [[nodiscard]] std::optional<time_point> idle_since() const
+    {
+        return exchange_ == 0
+                   ? std::optional(waiting_since().value_or(last_activity_))
+                   : std::nullopt;
+    }
+
     // Rejects a request that is not received in time. Returns true if the
     // connection has timed out and must be removed.
     bool check_timeouts(time_point now)
@@ -422,9 +432,16 @@
 {
     while (QTcpSocket* socket = listener_.nextPendingConnection())
     {
+        const bool at_limit = connections_.size() >= limits_.max_connections &&
+                              !close_longest_idle();
+        if (connections_.size() >= limits_.max_connections + max_rejections)
+        {
+            socket->abort();
+            socket->deleteLater();
+            continue;
+        }
         auto connection = std::make_unique<server_connection>(*this, socket);
         auto* added = connection.get();
-        const bool at_limit = connections_.size() >= limits_.max_connections;
         connections_.emplace(added, std::move(connection));
         if (at_limit)
         {
@@ -493,26 +510,36 @@
     }
 }
 
-bool server::close_longest_waiting(const server_connection* except)
+server_connection*
+server::find_earliest(const server_connection* except,
+                      std::optional<time_point> (server_connection::*since)()
+                          const) const
 {
-    server_connection* longest = nullptr;
+    server_connection* result = nullptr;
     std::optional<time_point> earliest;
     for (const auto& [connection, owned] : connections_)
     {
-        const auto since = connection->waiting_since();
-        if (connection != except && since && (!earliest || *since < *earliest))
+        const auto time = (connection->*since)();
+        if (connection != except && time && (!earliest || *time < *earliest))
         {
-            longest = connection;
-            earliest = since;
+            result = connection;
+            earliest = time;
         }
     }
+    return result;
+}
+
+bool server::close_longest_waiting(const server_connection* except)
+{
+    auto* longest = find_earliest(except, &server_connection::waiting_since);
     if (longest == nullptr)
     {
         return false;
     }
     log(log_level::warn, "slow_client_closed",
         "address={} unsent_bytes={} waiting_ms={}", address_text_,
-        longest->unsent_bytes(), milliseconds(boot_clock::now() - *earliest));
+        longest->unsent_bytes(),
+        milliseconds(boot_clock::now() - *longest->waiting_since()));
     if (longest->has_unsent_bytes())
     {
         remove_connection(longest);
@@ -524,6 +551,17 @@
     return true;
 }
 
+bool server::close_longest_idle()
+{
+    auto* longest = find_earliest(nullptr, &server_connection::idle_since);
+    if (longest == nullptr)
+    {
+        return false;
+    }
+    remove_connection(longest);
+    return true;
+}
+
 void server::begin_drain()
 {
     close_after_response_ = true;
