Limit the connections and the memory of the metrics and readiness addresses

Callers saw: 300 connections to the metrics address held 318 descriptors with max_connections at 16. With the default, clients, readiness and metrics may each open 1,400 connections, more than the 4,100 descriptors of a machine together with the connections to backend servers.

Cause: both addresses had the limits of the client address or the default ones.

Change: 64 connections each, 1 MiB of memory for readiness checks and 2 MiB for metrics. The platform checks readiness once per second and reads metrics every five seconds.

Evidence: Connections.test_more_connections_than_allowed_to_metrics was red and passes.

--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -54,11 +54,13 @@
 
 // A report has about 10 KB.
 constexpr std::size_t max_metrics_bytes = 2U << 20U;
+constexpr std::size_t max_metrics_connections = 64;
 
 config::resource_limits make_metrics_limits()
 {
     config::resource_limits limits;
     limits.max_buffered_bytes = max_metrics_bytes;
+    limits.max_connections = max_metrics_connections;
     return limits;
 }
 
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -32,6 +32,8 @@
 // `max_buffered_bytes`, but all of them together only twice as much: a request
 // that is passed on is held twice, by its sender and by its receiver.
 constexpr std::size_t memory_accounts_per_process = 2;
+constexpr std::size_t max_readiness_bytes = 1U << 20U;
+constexpr std::size_t max_readiness_connections = 64;
 // Lower bound of the receive timeout, which covers the whole request and not
 // only its header.
 constexpr duration min_receive_timeout = std::chrono::seconds(30);
@@ -78,6 +80,17 @@
     return limits;
 }
 
+// A check has a few hundred bytes, and comes once per second.
+config::resource_limits
+make_readiness_limits(const config::mesh_settings& options)
+{
+    auto limits = make_client_limits(options, {});
+    limits.max_buffered_bytes = max_readiness_bytes;
+    limits.max_connections =
+        std::min(options.max_connections, max_readiness_connections);
+    return limits;
+}
+
 mesh::retry_budget_options
 to_retry_budget_options(const config::retry_budget_settings& settings)
 {
@@ -144,7 +157,7 @@
               incarnation),
       client_server_(make_client_limits(options, {}), *this, memory_),
       readiness_handler_(*this),
-      readiness_server_(make_client_limits(options, {}), readiness_handler_,
+      readiness_server_(make_readiness_limits(options), readiness_handler_,
                         memory_)
 {
     shared_.mechanisms = options.mechanisms;
