Count requests that wait for a slot or for the backend server to read them

Callers saw: 200 uploads of 1 MB to a backend server that reads nothing brought its node to 216 MiB with max_buffered_bytes at 16 MiB.

Cause: a request that is passed on was counted by its body in the guard only. Neither the request in the queue nor the bytes that wait in the socket to the backend server were part of a sum with those of clients.

Change: the client counts unsent requests and received responses, and the guard the requests that wait to start, in the account of the process. Before a call is refused or an exchange fails for lack of memory, the slowest clients are closed. A refusal for lack of memory no longer spends retry budget.

--- a/include/jujubespan/backend/backend_client.hpp
+++ b/include/jujubespan/backend/backend_client.hpp
@@ -28,6 +28,12 @@
         client_.set_max_connections(max_connections);
     }
 
+    /// @brief Sets what frees memory before a call fails for lack of it.
+    void set_reclaimer(memory_reclaimer& reclaimer)
+    {
+        client_.set_reclaimer(reclaimer);
+    }
+
     /// @brief Connections opened since the start.
     [[nodiscard]] std::uint64_t connect_attempts() const
     {
--- a/include/jujubespan/http/client.hpp
+++ b/include/jujubespan/http/client.hpp
@@ -3,6 +3,7 @@
 
 #include "jujubespan/config/settings.hpp"
 #include "jujubespan/http/codec.hpp"
+#include "jujubespan/policy/memory_account.hpp"
 #include "jujubespan/policy/time.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -38,9 +39,11 @@
 struct client_options
 {
     message_limits limits{};
-    /// Limit of the response bytes received and not yet handed over, of all
-    /// exchanges together.
+    /// Limit of the memory of all exchanges together: requests that are not
+    /// sent, and responses received and not yet handed over.
     std::size_t max_buffered_bytes{std::numeric_limits<std::size_t>::max()};
+    /// The account of the process, of which this memory is a part; null: none.
+    std::shared_ptr<memory_account> memory{};
     std::size_t max_idle_connections{1};
     std::size_t max_connections{0}; ///< Zero: no limit.
     /// Longest idle time after which a connection is reused. A shorter time
@@ -101,6 +104,12 @@
     /// probe is in progress.
     void probe();
 
+    /// @brief Sets what frees memory before an exchange fails for lack of it.
+    void set_reclaimer(memory_reclaimer& reclaimer)
+    {
+        memory_.set_reclaimer(&reclaimer);
+    }
+
     /// @brief Sets the maximum number of open connections.
     void set_max_connections(std::size_t max_connections)
     {
@@ -112,8 +121,8 @@
         return idle_connections_.size();
     }
 
-    /// @brief Response bytes received for the exchanges in progress.
-    [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
+    /// @brief Memory of the exchanges in progress, in bytes.
+    [[nodiscard]] std::size_t buffered_bytes() const { return memory_.used(); }
 
     /// @brief Connections opened or attempted since construction.
     [[nodiscard]] std::uint64_t connect_attempts() const
@@ -124,8 +133,8 @@
 private:
     friend class client_connection;
 
-    /// @brief Fails the exchanges with the largest responses until the limit of
-    /// the buffered bytes is kept.
+    /// @brief Fails the exchanges that hold most memory until the limit is
+    /// kept.
     /// @return false when a given connection was among them.
     bool limit_buffered_bytes(const client_connection& connection);
     void finish_exchange(client_connection* connection, exchange_result result,
@@ -140,7 +149,7 @@
     client_options options_;
     response_handler& handler_;
     std::uint64_t connect_attempts_{0};
-    std::size_t buffered_bytes_{0};
+    memory_account memory_;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<client_connection>>
         active_connections_;
     std::vector<std::unique_ptr<client_connection>>
--- a/include/jujubespan/mesh/guard.hpp
+++ b/include/jujubespan/mesh/guard.hpp
@@ -12,6 +12,7 @@
 #include "jujubespan/mesh/server_end_detector.hpp"
 #include "jujubespan/mesh/server_load.hpp"
 #include "jujubespan/mesh/suspect_requests.hpp"
+#include "jujubespan/policy/memory_account.hpp"
 
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
@@ -19,6 +20,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -39,6 +41,9 @@
     std::size_t max_queue{512};
     /// Limit of the request bodies of all calls in progress.
     std::size_t max_body_bytes{64U << 20U};
+    /// The account of the process, in which calls that wait to start are
+    /// counted; null: none.
+    std::shared_ptr<memory_account> memory{};
     retry_budget_options retry_budget;
     /// True when the whole fleet starts now; see guard_retry_budget.
     bool fleet_starting{false};
@@ -57,6 +62,12 @@
           engine::backend_port& backend, routed_reply_port& replies,
           time_point now);
 
+    /// @brief Sets what frees memory before a call is refused for lack of it.
+    void set_reclaimer(memory_reclaimer& reclaimer)
+    {
+        memory_.set_reclaimer(&reclaimer);
+    }
+
     void on_call(std::uint64_t exchange, routed_call call, time_point now);
 
     /// @brief The sender of a call cancelled it. No reply is sent.
@@ -119,6 +130,7 @@
         time_point started_at{};
         bool running{false};
         std::size_t body_bytes{0};
+        std::size_t waiting_bytes{0}; ///< Part of `memory_`; zero once started.
         request_fingerprint fingerprint{0};
         request_standing standing{request_standing::clear}; // at its start
     };
@@ -142,6 +154,7 @@
 
     [[nodiscard]] std::optional<engine::reason>
     reason_to_refuse(const routed_call& call, time_point now) const;
+    [[nodiscard]] bool has_room_for(const routed_call& call);
     [[nodiscard]] bool spend_retry_budget(const routed_call& call,
                                           time_point now);
     [[nodiscard]] static bool earns_retry_budget(const routed_call& call);
@@ -217,6 +230,7 @@
     time_point next_expiry_{};
     call_map calls_; // by exchange id
     std::size_t body_bytes_{0};
+    memory_account memory_; // of calls that wait to start
     absl::btree_set<std::pair<time_point, std::uint64_t>> deadlines_;
 };
 
--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -141,7 +141,7 @@
     mesh::allowance_authority allowance_authority_;
     mesh::guard guard_;
     mesh::egress egress_;
-    http::server client_server_;
+    http::server client_server_; // Frees memory for the others.
     readiness_handler readiness_handler_;
     http::server readiness_server_;
     std::shared_ptr<const mesh::configuration> configuration_;
--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -26,6 +26,9 @@
 // A connection is no longer used this long before its server would close it.
 constexpr duration keep_alive_margin = std::chrono::milliseconds(1500);
 constexpr std::size_t read_chunk_bytes = 16U << 10U;
+// An exchange with so little memory is not ended because others exceed the
+// limit of the process.
+constexpr std::size_t small_bytes = 64U << 10U;
 // Responses to earlier requests that may precede the expected one.
 constexpr unsigned max_skipped_responses = 4;
 constexpr unsigned first_error_status = 400;
@@ -61,12 +64,14 @@
 {
 public:
     explicit client_connection(client& owner)
-        : owner_(owner), socket_(new QTcpSocket)
+        : owner_(owner), socket_(new QTcpSocket), charge_(owner.memory_)
     {
         QObject::connect(socket_, &QTcpSocket::connected, &context_object_,
                          [this] { on_connected(); });
         QObject::connect(socket_, &QTcpSocket::readyRead, &context_object_,
                          [this] { on_readable(); });
+        QObject::connect(socket_, &QTcpSocket::bytesWritten, &context_object_,
+                         [this] { update_charge(); });
         // Queued, since an error may be reported from within `start`.
         QObject::connect(
             socket_, &QTcpSocket::errorOccurred, &context_object_,
@@ -81,7 +86,6 @@
 
     ~client_connection()
     {
-        release_buffered_bytes();
         socket_->disconnect();
         socket_->abort();
         socket_->deleteLater();
@@ -106,6 +110,7 @@
                              : find_header(request.headers, echo_header);
         reset_parser();
         send_buffer_ = serialize(request);
+        update_charge();
         if (socket_->state() == QAbstractSocket::ConnectedState)
         {
             send_request();
@@ -128,15 +133,22 @@
     }
 
     [[nodiscard]] std::uint64_t exchange() const { return exchange_; }
-    [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
+    [[nodiscard]] std::size_t buffered_bytes() const { return charge_.bytes(); }
+
+    // Before the response is handed over, which is then counted elsewhere.
+    void release_memory()
+    {
+        response_bytes_ = 0;
+        charge_.set(0);
+    }
 
     void mark_idle(duration lifetime, time_point now)
     {
         exchange_ = 0;
         request_sent_ = false;
-        release_buffered_bytes();
         receive_buffer_.clear(); // Releases the memory of a large body.
         parser_.reset();
+        release_memory();
         usable_until_ = now + lifetime;
         idle_since_ = now;
     }
@@ -211,6 +223,7 @@
         request_sent_ = true;
         adjust_dead_peer_detection();
         send_at_once(*socket_, std::exchange(send_buffer_, {}));
+        update_charge();
     }
 
     void on_readable()
@@ -225,18 +238,19 @@
 
     void on_bytes_received(qsizetype count)
     {
-        buffered_bytes_ += static_cast<std::size_t>(count);
-        owner_.buffered_bytes_ += static_cast<std::size_t>(count);
+        response_bytes_ += static_cast<std::size_t>(count);
+        update_charge();
         if (owner_.limit_buffered_bytes(*this))
         {
             parse_responses();
         }
     }
 
-    void release_buffered_bytes()
+    void update_charge()
     {
-        owner_.buffered_bytes_ -= buffered_bytes_;
-        buffered_bytes_ = 0;
+        charge_.set(response_bytes_ +
+                    static_cast<std::size_t>(send_buffer_.size()) +
+                    static_cast<std::size_t>(socket_->bytesToWrite()));
     }
 
     void parse_responses()
@@ -391,7 +405,8 @@
     bool may_wait_for_window_{false}; // the request
     bool probing_{false};
     unsigned skipped_responses_{0}; // to earlier requests
-    std::size_t buffered_bytes_{0}; // part of owner_.buffered_bytes_
+    memory_charge charge_;
+    std::size_t response_bytes_{0}; // Received for this exchange.
     time_point usable_until_{};
     time_point idle_since_{};
     int body_descriptor_{-1}; // set while reading a close-delimited body
@@ -400,7 +415,8 @@
 
 client::client(const config::endpoint& address, const client_options& options,
                response_handler& handler)
-    : address_(address), options_(options), handler_(handler)
+    : address_(address), options_(options), handler_(handler),
+      memory_(options.max_buffered_bytes, options.memory)
 {
 }
 
@@ -459,7 +475,7 @@
 bool client::limit_buffered_bytes(const client_connection& connection)
 {
     const std::uint64_t exchange = connection.exchange();
-    while (buffered_bytes_ > options_.max_buffered_bytes)
+    while (!memory_.make_room(0))
     {
         client_connection* largest = nullptr;
         for (const auto& [id, item] : active_connections_)
@@ -470,7 +486,9 @@
                 largest = item.get();
             }
         }
-        if (largest == nullptr)
+        const bool own_limit_kept = memory_.used() <= memory_.limit();
+        if (largest == nullptr ||
+            (own_limit_kept && largest->buffered_bytes() <= small_bytes))
         {
             break;
         }
@@ -520,6 +538,7 @@
     }
     auto owned = std::move(found->second);
     active_connections_.erase(found);
+    owned->release_memory();
     const auto now = boot_clock::now();
     remove_expired_connections(now);
     if (reusable && idle_connections_.size() < options_.max_idle_connections)
--- a/src/jujubespan/mesh/guard.cpp
+++ b/src/jujubespan/mesh/guard.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace jujubespan::mesh
 {
@@ -84,7 +85,8 @@
       retry_budget_(options_.retry_budget, options_.fleet_starting, now),
       next_end_id_(stable_hash(
           options_.backend_address,
-          static_cast<std::uint64_t>(now.time_since_epoch().count())))
+          static_cast<std::uint64_t>(now.time_since_epoch().count()))),
+      memory_(std::numeric_limits<std::size_t>::max(), options_.memory)
 {
 }
 
@@ -214,21 +216,23 @@
     {
         cause = reason::quarantined;
     }
-    if (!cause && !spend_retry_budget(call, now))
+    if (!cause && !has_room_for(call))
     {
-        cause = reason::retry_budget;
+        cause = reason::in_flight_bound;
     }
-    const auto body_bytes = call.request.body.size();
-    if (!cause && body_bytes_ + body_bytes > options_.max_body_bytes)
+    if (!cause && !spend_retry_budget(call, now))
     {
-        cause = reason::in_flight_bound;
+        cause = reason::retry_budget;
     }
-    body_bytes_ += body_bytes;
-    const auto added = calls_.emplace(
-        exchange,
-        pending_call{
-            std::move(call), now, {}, false, body_bytes, fingerprint, {}});
+    const auto added =
+        calls_.emplace(exchange, pending_call{.message = std::move(call),
+                                              .received_at = now,
+                                              .fingerprint = fingerprint});
     auto& entry = added.first->second;
+    entry.body_bytes = entry.message.request.body.size();
+    entry.waiting_bytes = memory_size(entry.message.request);
+    body_bytes_ += entry.body_bytes;
+    memory_.add(entry.waiting_bytes);
     deadlines_.insert({entry.message.deadline, exchange});
     if (cause)
     {
@@ -256,6 +260,12 @@
     }
 }
 
+bool guard::has_room_for(const routed_call& call)
+{
+    return body_bytes_ + call.request.body.size() <= options_.max_body_bytes &&
+           memory_.make_room(memory_size(call.request));
+}
+
 void guard::start_call(std::uint64_t id, time_point now)
 {
     auto& call = calls_.at(id);
@@ -289,6 +299,7 @@
                                              false});
     // The caller's node keeps the request for another attempt.
     auto request = std::move(call.message.request);
+    memory_.remove(std::exchange(call.waiting_bytes, 0));
     request.idempotent = message.idempotent;
     const auto& names = options_.names;
     std::erase_if(
@@ -634,6 +645,7 @@
     deadlines_.erase({call.message.deadline, found->first});
     calls_.erase(found);
     body_bytes_ -= call.body_bytes;
+    memory_.remove(call.waiting_bytes);
     return call;
 }
 
--- a/src/jujubespan/mesh/guard_test.cpp
+++ b/src/jujubespan/mesh/guard_test.cpp
@@ -55,9 +55,10 @@
         target.apply(directory, now);
     }
 
-    static guard_options options()
+    guard_options options() const
     {
         guard_options value;
+        value.memory = memory;
         value.service = "s";
         value.backend_address = "10.0.0.1:8080";
         value.retry_budget = {0.2, 10, 10s};
@@ -139,6 +140,8 @@
     std::string body;         // of the requests of further calls
     std::string organisation; // of further calls
     header_names names;
+    std::shared_ptr<memory_account> memory{
+        std::make_shared<memory_account>(1U << 20U)};
     mesh_state shared;
     recording_backend backend;
     recording_replies replies;
@@ -304,6 +307,28 @@
     EXPECT_FALSE(replies.replies.contains(1));
 }
 
+// Waiting calls were counted by the size of their bodies only, and each guard,
+// client and connection had a limit of its own.
+TEST_F(guard_test, calls_beyond_the_memory_of_the_process_are_refused)
+{
+    const auto before = memory->used();
+    for (std::uint64_t i = 1; i <= 3; ++i) // The last one waits for a slot.
+    {
+        call(i);
+    }
+    EXPECT_TRUE(backend.requests.contains(1));
+    EXPECT_GT(memory->used(), before);
+    memory_charge others(*memory);
+    others.set(memory->limit());
+    call(4);
+    EXPECT_EQ(reply(4).result, outcome::not_run);
+    EXPECT_EQ(reply(4).reason, reason::in_flight_bound);
+    others.set(0);
+    answer(1, 200, {{names.signature, "x"}});
+    EXPECT_TRUE(backend.requests.contains(3));
+    EXPECT_EQ(memory->used(), before);
+}
+
 // A queue of hundreds of uploads would not fit into the memory of the node.
 TEST_F(guard_test, bodies_beyond_the_limit_are_refused_as_not_run)
 {
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -51,10 +51,13 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
-http::client_options make_backend_options(const config::mesh_settings& settings,
-                                          const mesh::header_names& names)
+http::client_options
+make_backend_options(const config::mesh_settings& settings,
+                     const mesh::header_names& names,
+                     const std::shared_ptr<memory_account>& memory)
 {
     http::client_options options;
+    options.memory = memory;
     options.max_buffered_bytes = settings.max_buffered_bytes;
     options.limits = {backend_max_header_bytes, backend_max_body_bytes};
     options.max_idle_connections = max_idle_connections;
@@ -116,8 +119,10 @@
     return {settings.window, settings.tolerance, settings.slack};
 }
 
-mesh::guard_options make_guard_options(const config::mesh_settings& options,
-                                       const mesh::header_names& names)
+mesh::guard_options
+make_guard_options(const config::mesh_settings& options,
+                   const mesh::header_names& names,
+                   const std::shared_ptr<memory_account>& memory)
 {
     mesh::guard_options result;
     result.service = options.service;
@@ -130,6 +135,7 @@
         result.max_queue = 0;
     }
     result.max_body_bytes = options.max_buffered_bytes;
+    result.memory = memory;
     result.retry_budget = to_retry_budget_options(options.retry_budget);
     result.fleet_starting = options.first_start;
     return result;
@@ -144,15 +150,16 @@
       memory_(std::make_shared<memory_account>(memory_accounts_per_process *
                                                options.max_buffered_bytes)),
       drain_(make_drain_schedule(options.stop_grace)),
-      backend_(options.backend_address, make_backend_options(options, names)),
+      backend_(options.backend_address,
+               make_backend_options(options, names, memory_)),
       peers_(context, options.call_address,
              options.call_listen_address.value_or(options.call_address),
              incarnation),
       allowance_spender_(config::to_string(options.call_address),
                          options.failure_domain),
       allowance_authority_(make_allowance_bound(options.allowance)),
-      guard_(make_guard_options(options, names), shared_, backend_, peers_,
-             boot_clock::now()),
+      guard_(make_guard_options(options, names, memory_), shared_, backend_,
+             peers_, boot_clock::now()),
       egress_(make_egress_options(options, names), shared_, *this, peers_,
               incarnation),
       client_server_(make_client_limits(options, {}), *this, memory_),
@@ -163,6 +170,8 @@
     shared_.mechanisms = options.mechanisms;
     shared_.admission.set_mechanisms(options.mechanisms);
     backend_.bind(guard_);
+    backend_.set_reclaimer(client_server_);
+    guard_.set_reclaimer(client_server_);
     peers_.set_receivers(egress_, guard_);
     peers_.set_allowances(allowance_spender_, allowance_authority_);
     egress_.set_allowances(&allowance_spender_);
