Count the parsed header fields of responses that are being received

Callers saw: 150 responses with heads of 64 KB whose bodies stall brought a node to 213 MiB with max_buffered_bytes at 16 MiB.

Cause: a response that is being received was counted by its bytes, while each of its 16,000 fields occupies 80 bytes in the parser.

Change: the fields are counted as soon as the header is complete, and the limit is checked again then, since a response that stalls brings no further bytes.

--- a/src/jujubespan/http/client.cpp
+++ b/src/jujubespan/http/client.cpp
@@ -248,7 +248,7 @@
 
     void update_charge()
     {
-        charge_.set(response_bytes_ +
+        charge_.set(response_bytes_ + (parser_ ? parser_->field_memory() : 0) +
                     static_cast<std::size_t>(send_buffer_.size()) +
                     static_cast<std::size_t>(socket_->bytesToWrite()));
     }
@@ -260,6 +260,11 @@
             switch (parser_->parse(receive_buffer_))
             {
             case parse_state::incomplete:
+                update_charge();
+                if (!owner_.limit_buffered_bytes(*this))
+                {
+                    return;
+                }
                 if (parser_->is_close_delimited() && body_descriptor_ < 0)
                 {
                     read_until_close();
