Serve operators with the HTTP server that has limits

Callers saw: of a node that enforces contracts, the operators' address held everything that clients sent: 4 bodies of 60 MB brought it to 520 MiB, 8 heads without end to 499 MiB, empty lines without end before a request to 261 MiB, requests whose answers nobody reads to 167 MiB, and 300 connections to 322 descriptors.

Cause: QHttpServer has no limit for a request's head, its body, the empty lines before it, unsent responses or connections, and none can be set.

The endpoints of callers and of the backend server count in the account of the process as well. Qt's HTTP server is no longer a dependency.

Evidence: five tests of operators_test.ContractNode were red and pass.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -1,6 +1,6 @@
 # Finds the libraries that the modules use; all come from Debian packages.
 find_package(Threads REQUIRED)
-find_package(Qt6 REQUIRED COMPONENTS Core Network HttpServer)
+find_package(Qt6 REQUIRED COMPONENTS Core Network)
 find_package(Boost 1.74 REQUIRED)
 find_package(absl REQUIRED)
 find_package(fmt REQUIRED)
--- a/include/jujubespan/backend/backend_client.hpp
+++ b/include/jujubespan/backend/backend_client.hpp
@@ -12,7 +12,9 @@
                              private http::response_handler
 {
 public:
-    explicit backend_client(const config::settings& options);
+    /// @param memory the account of the process; null: none.
+    explicit backend_client(const config::settings& options,
+                            std::shared_ptr<memory_account> memory = nullptr);
 
     backend_client(const config::endpoint& address,
                    const http::client_options& options);
--- a/include/jujubespan/caller/caller_endpoint.hpp
+++ b/include/jujubespan/caller/caller_endpoint.hpp
@@ -15,8 +15,10 @@
 {
 public:
     /// @param engine must outlive this object.
+    /// @param memory the account of the process; null: none.
     caller_endpoint(const config::resource_limits& limits,
-                    engine::call_engine& engine);
+                    engine::call_engine& engine,
+                    std::shared_ptr<memory_account> memory = nullptr);
 
     absl::Status listen(const config::endpoint& address);
 
--- a/include/jujubespan/node/traffic_loop.hpp
+++ b/include/jujubespan/node/traffic_loop.hpp
@@ -49,6 +49,12 @@
     [[nodiscard]] engine::call_engine& call_engine() { return engine_; }
     void apply_instances(std::span<const instance> list);
 
+    /// @brief The memory that messages occupy in the process.
+    [[nodiscard]] const std::shared_ptr<memory_account>& memory() const
+    {
+        return memory_;
+    }
+
     /// @brief Load at the last tick. Thread-safe.
     [[nodiscard]] upstream_load load() const
     {
@@ -60,6 +66,7 @@
     void check_drain_end(time_point now);
 
     config::settings options_;
+    std::shared_ptr<memory_account> memory_;
     QObject context_object_;
     QTimer tick_timer_;
     backend::backend_client backend_;
--- a/src/jujubespan/backend/backend_client.cpp
+++ b/src/jujubespan/backend/backend_client.cpp
@@ -36,10 +36,12 @@
 
 } // namespace
 
-backend_client::backend_client(const config::settings& options)
+backend_client::backend_client(const config::settings& options,
+                               std::shared_ptr<memory_account> memory)
     : backend_client(options.backend_address,
                      {.limits = {options.limits.max_header_bytes,
                                  options.limits.max_body_bytes},
+                      .memory = std::move(memory),
                       .max_idle_connections = options.slots})
 {
 }
--- a/src/jujubespan/backend/outbound_endpoint.cpp
+++ b/src/jujubespan/backend/outbound_endpoint.cpp
@@ -28,8 +28,9 @@
 }
 
 outbound_endpoint::outbound_endpoint(const config::resource_limits& limits,
-                                     engine::call_engine& engine)
-    : engine_(engine), server_(limits, *this)
+                                     engine::call_engine& engine,
+                                     std::shared_ptr<memory_account> memory)
+    : engine_(engine), server_(limits, *this, std::move(memory))
 {
 }
 
--- a/src/jujubespan/caller/caller_endpoint.cpp
+++ b/src/jujubespan/caller/caller_endpoint.cpp
@@ -6,8 +6,9 @@
 {
 
 caller_endpoint::caller_endpoint(const config::resource_limits& limits,
-                                 engine::call_engine& engine)
-    : engine_(engine), server_(limits, *this)
+                                 engine::call_engine& engine,
+                                 std::shared_ptr<memory_account> memory)
+    : engine_(engine), server_(limits, *this, std::move(memory))
 {
 }
 
--- a/src/jujubespan/node/control_loop.cpp
+++ b/src/jujubespan/node/control_loop.cpp
@@ -38,7 +38,7 @@
       keys_(keys), random_engine_(incarnation),
       peers_(context, options, incarnation, *this),
       platform_(options.platform_address, incarnation, *this),
-      operators_(*this),
+      operators_(*this, traffic.memory()),
       fallback_reader_(fallback_read_delay, fallback_read_jitter),
       pause_detector_(pause_threshold)
 {
--- a/src/jujubespan/node/traffic_loop.cpp
+++ b/src/jujubespan/node/traffic_loop.cpp
@@ -9,6 +9,9 @@
 {
 
 constexpr auto tick_interval = std::chrono::milliseconds(10);
+// A request that is passed on is held by the endpoint that received it and by
+// the client that sends it.
+constexpr std::size_t memory_accounts_per_process = 2;
 
 operators::peer_counters
 to_peer_counters(const peer::messenger_counters& counters,
@@ -27,12 +30,14 @@
 
 traffic_loop::traffic_loop(const config::settings& options,
                            std::uint64_t incarnation, zmq::context_t& context)
-    : options_(options), backend_(options),
-      peers_(context, options, incarnation),
+    : options_(options),
+      memory_(std::make_shared<memory_account>(
+          memory_accounts_per_process * options.limits.max_buffered_bytes)),
+      backend_(options, memory_), peers_(context, options, incarnation),
       engine_(options, incarnation, incarnation, backend_, peers_,
               boot_clock::now()),
-      caller_endpoint_(options.limits, engine_),
-      outbound_endpoint_(options.limits, engine_)
+      caller_endpoint_(options.limits, engine_, memory_),
+      outbound_endpoint_(options.limits, engine_, memory_)
 {
     backend_.bind(engine_);
     peers_.set_engine(engine_);
