Count the messages that wait to be sent to other nodes

Callers saw: 40 replies of 8 MiB to a node that has stopped brought the sender to 357 MiB, and 200 calls with bodies of 1 MB to a stopped node 231 MiB, with max_buffered_bytes at 16 MiB.

Cause: ZeroMQ queues up to 1,000 messages for each peer, of any size, and does not tell how many bytes wait.

Change: the buffer of a message counts in the account of the process until ZeroMQ releases it, also while the message waits for its connection. A call that finds no room is not sent and may run elsewhere. A reply that finds none is replaced by one without its response, which callers see as 502: it ran.

Evidence: test_replies_that_are_not_read and test_calls_that_are_not_read of peers_test.Peers were red and pass.

--- a/include/jujubespan/node/mesh_loop.hpp
+++ b/include/jujubespan/node/mesh_loop.hpp
@@ -131,6 +131,7 @@
 
     config::mesh_settings options_;
     std::shared_ptr<memory_account> memory_;
+    std::shared_ptr<memory_account> peer_memory_; ///< Messages to other nodes.
     drain_schedule drain_;
     QObject context_object_;
     QTimer tick_timer_;
--- a/include/jujubespan/peer/codec.hpp
+++ b/include/jujubespan/peer/codec.hpp
@@ -45,6 +45,10 @@
 
 void encode(const mesh::routed_reply& reply, v1::Reply& out);
 
+/// @brief Replaces the response in a reply by an unknown outcome: the request
+/// ran, and its response cannot be held until it is sent.
+void remove_response(v1::Reply& reply);
+
 /// @return empty if a field is out of range.
 std::optional<mesh::routed_reply> decode_routed(const v1::Reply& in);
 
--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -129,6 +129,10 @@
     bool send_reply(const routing_id& reply_to, std::string_view peer,
                     v1::Envelope& message);
 
+    /// @brief Whether a message fits into the memory of messages that wait to
+    /// be sent. Frees memory first if there is too little.
+    [[nodiscard]] bool make_room(const v1::Envelope& message) const;
+
     /// @brief Drops pending messages that have waited too long and reports them
     /// as unsent.
     void expire_pending(time_point now);
--- a/include/jujubespan/peer/routed_transport.hpp
+++ b/include/jujubespan/peer/routed_transport.hpp
@@ -35,9 +35,12 @@
 public:
     /// @param own_address address by which other nodes identify this one.
     /// @param listen address to bind for their calls.
+    /// @param memory account of the messages that wait to be sent; null: they
+    /// are not counted.
     routed_transport(zmq::context_t& context,
                      const config::endpoint& own_address,
-                     const config::endpoint& listen, std::uint64_t incarnation);
+                     const config::endpoint& listen, std::uint64_t incarnation,
+                     std::shared_ptr<memory_account> memory = nullptr);
 
     /// @brief Sets the receivers of replies and calls. Must be called before
     /// `bind`.
--- a/include/jujubespan/peer/zmq_socket.hpp
+++ b/include/jujubespan/peer/zmq_socket.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESPAN_PEER_ZMQ_SOCKET_HPP
 
 #include "jujubespan/config/settings.hpp"
+#include "jujubespan/policy/memory_account.hpp"
 #include "jujubespan/policy/time.hpp"
 
 #include <QObject>
@@ -78,6 +79,8 @@
     /// of a fleet of n nodes has no n * n heartbeats.
     bool heartbeat_idle_connections{true};
     std::int64_t max_message_bytes{20 << 20};
+    /// Counts the messages that wait to be sent; null: they are not counted.
+    std::shared_ptr<memory_account> memory{};
 };
 
 /// @brief Sets the limits and, if keys are enabled, the encryption of a socket
--- a/src/jujubespan/node/mesh_loop.cpp
+++ b/src/jujubespan/node/mesh_loop.cpp
@@ -149,12 +149,14 @@
     : options_(options),
       memory_(std::make_shared<memory_account>(memory_accounts_per_process *
                                                options.max_buffered_bytes)),
+      peer_memory_(std::make_shared<memory_account>(options.max_buffered_bytes,
+                                                    memory_)),
       drain_(make_drain_schedule(options.stop_grace)),
       backend_(options.backend_address,
                make_backend_options(options, names, memory_)),
       peers_(context, options.call_address,
              options.call_listen_address.value_or(options.call_address),
-             incarnation),
+             incarnation, peer_memory_),
       allowance_spender_(config::to_string(options.call_address),
                          options.failure_domain),
       allowance_authority_(make_allowance_bound(options.allowance)),
@@ -172,6 +174,7 @@
     backend_.bind(guard_);
     backend_.set_reclaimer(client_server_);
     guard_.set_reclaimer(client_server_);
+    peer_memory_->set_reclaimer(&client_server_);
     peers_.set_receivers(egress_, guard_);
     peers_.set_allowances(allowance_spender_, allowance_authority_);
     egress_.set_allowances(&allowance_spender_);
--- a/src/jujubespan/peer/codec.cpp
+++ b/src/jujubespan/peer/codec.cpp
@@ -333,6 +333,16 @@
     }
 }
 
+void remove_response(v1::Reply& reply)
+{
+    reply.set_outcome(static_cast<std::uint32_t>(engine::outcome::unknown));
+    reply.set_reason(
+        static_cast<std::uint32_t>(engine::reason::in_flight_bound));
+    reply.clear_status();
+    reply.clear_headers();
+    reply.clear_body();
+}
+
 std::optional<mesh::routed_reply> decode_routed(const v1::Reply& in)
 {
     auto answer = decode(in);
--- a/src/jujubespan/peer/codec_test.cpp
+++ b/src/jujubespan/peer/codec_test.cpp
@@ -242,5 +242,23 @@
     EXPECT_TRUE(decode_routed(ended)->backend_ended);
 }
 
+// A reply that cannot be held must not look like one that was not run.
+TEST(codec, reply_without_its_response_has_an_unknown_outcome)
+{
+    mesh::routed_reply reply;
+    reply.answer.response = {200, {{"A", "b"}}, "body"};
+    reply.reached_backend = true;
+    v1::Reply wire;
+    encode(reply, wire);
+    remove_response(wire);
+    const auto decoded = decode_routed(wire);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->answer.result, engine::outcome::unknown);
+    EXPECT_EQ(decoded->answer.reason, engine::reason::in_flight_bound);
+    EXPECT_TRUE(decoded->answer.response.body.empty());
+    EXPECT_TRUE(decoded->answer.response.headers.empty());
+    EXPECT_TRUE(decoded->reached_backend);
+}
+
 } // namespace
 } // namespace jujubespan::peer
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -2,6 +2,7 @@
 
 #include "jujubespan/config/endpoint.hpp"
 #include "jujubespan/metrics/log.hpp"
+#include "jujubespan/peer/counted_message.hpp"
 #include "jujubespan/peer/peer.pb.h"
 
 #include <fmt/format.h>
@@ -48,6 +49,7 @@
     {
         v1::Envelope message;
         time_point queued_at;
+        std::unique_ptr<memory_charge> charge; // null: not counted
     };
 
     connection(messenger& owner, std::string peer, std::uint64_t monitor_number,
@@ -255,15 +257,20 @@
     {
         return false;
     }
-    to->pending.push_back({message, now});
+    to->pending.push_back({message, now, nullptr});
+    if (connection_options_.memory)
+    {
+        auto& charge = to->pending.back().charge;
+        charge = std::make_unique<memory_charge>(*connection_options_.memory);
+        charge->set(message.ByteSizeLong());
+    }
     ++pending_count_;
     return true;
 }
 
 bool messenger::send_envelope(connection& to, const v1::Envelope& message)
 {
-    zmq::message_t payload(message.ByteSizeLong());
-    message.SerializeToArray(payload.data(), static_cast<int>(payload.size()));
+    auto payload = serialize_counted(message, connection_options_.memory);
     counters_.sent_bytes += payload.size();
     ++counters_.sent;
     if (message.has_call())
@@ -278,6 +285,12 @@
     return to.socket.send(std::move(payload));
 }
 
+bool messenger::make_room(const v1::Envelope& message) const
+{
+    const auto& memory = connection_options_.memory;
+    return !memory || memory->make_room(message.ByteSizeLong());
+}
+
 bool messenger::send_heartbeat(connection& to)
 {
     v1::Envelope message;
@@ -323,8 +336,7 @@
                            v1::Envelope& message)
 {
     set_envelope_header(message, peer);
-    zmq::message_t payload(message.ByteSizeLong());
-    message.SerializeToArray(payload.data(), static_cast<int>(payload.size()));
+    auto payload = serialize_counted(message, connection_options_.memory);
     counters_.sent_bytes += payload.size();
     ++counters_.sent;
     return bound_socket_.send(zmq::message_t(reply_to.data(), reply_to.size()),
--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -14,11 +14,15 @@
 
 // The heartbeat timeout detects a dead connection before most clients time out.
 // A message holds the largest body that clients may send, and its headers.
-constexpr connection_options options{
-    .heartbeat_interval = std::chrono::milliseconds(1000),
-    .heartbeat_timeout = std::chrono::milliseconds(1000),
-    .heartbeat_idle_connections = false,
-    .max_message_bytes = 66 << 20};
+connection_options make_options(std::shared_ptr<memory_account> memory)
+{
+    return {.heartbeat_interval = std::chrono::milliseconds(1000),
+            .heartbeat_timeout = std::chrono::milliseconds(1000),
+            .heartbeat_idle_connections = false,
+            .max_message_bytes = 66 << 20,
+            .memory = std::move(memory)};
+}
+
 constexpr duration connection_check_interval = std::chrono::milliseconds(200);
 // How long the connection to a node that is no longer listed stays open to
 // receive outstanding replies.
@@ -35,9 +39,11 @@
 routed_transport::routed_transport(zmq::context_t& context,
                                    const config::endpoint& own_address,
                                    const config::endpoint& listen,
-                                   std::uint64_t incarnation)
+                                   std::uint64_t incarnation,
+                                   std::shared_ptr<memory_account> memory)
     : own_address_(config::to_string(own_address)), listen_address_(listen),
-      messenger_(context, own_address_, incarnation, {}, *this, options)
+      messenger_(context, own_address_, incarnation, {}, *this,
+                 make_options(std::move(memory)))
 {
 }
 
@@ -94,7 +100,7 @@
     }
     v1::Envelope message;
     encode(call, now, *message.mutable_call());
-    return messenger_.send(peer, message, now);
+    return messenger_.make_room(message) && messenger_.send(peer, message, now);
 }
 
 void routed_transport::call_self(const mesh::routed_call& call)
@@ -155,6 +161,13 @@
     }
     v1::Envelope message;
     encode(reply, *message.mutable_reply());
+    if (reply.answer.result == engine::outcome::answered &&
+        !messenger_.make_room(message))
+    {
+        log(log_level::warn, "reply_dropped", "peer={} call={} bytes={}",
+            ended->peer, ended->call_id, message.ByteSizeLong());
+        remove_response(*message.mutable_reply());
+    }
     message.mutable_reply()->set_id(ended->call_id);
     if (!messenger_.send_reply(ended->reply_to, ended->peer, message))
     {
