Accept no message between nodes that is larger than any node sends

Callers saw: 24 strangers that connect to a node's call port, announce a message of 60 MiB and stall after 10 MiB brought it to 258 MiB, with max_buffered_bytes at 4 MiB.

Cause: the largest message was 66 MiB whatever the settings, and ZeroMQ holds what arrives until the message is complete.

Change: the limit is max_buffered_bytes, the largest body that a node holds, plus 2 MiB for the other fields. ZeroMQ closes a connection that announces more.

Evidence: peers_test.Strangers.test_messages_that_do_not_end was red and passes.

--- a/src/jujubespan/peer/routed_transport.cpp
+++ b/src/jujubespan/peer/routed_transport.cpp
@@ -4,6 +4,7 @@
 #include "jujubespan/peer/codec.hpp"
 #include "jujubespan/peer/peer.pb.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace jujubespan::peer
@@ -12,14 +13,21 @@
 namespace
 {
 
+// Largest body that a node passes on, and the other fields of its message.
+constexpr std::size_t max_buffered_body_bytes = 64U << 20U;
+constexpr std::size_t max_message_header_bytes = 2U << 20U;
+
 // The heartbeat timeout detects a dead connection before most clients time out.
-// A message holds the largest body that clients may send, and its headers.
 connection_options make_options(std::shared_ptr<memory_account> memory)
 {
+    const auto max_body_bytes =
+        memory ? std::min(memory->limit(), max_buffered_body_bytes)
+               : max_buffered_body_bytes;
     return {.heartbeat_interval = std::chrono::milliseconds(1000),
             .heartbeat_timeout = std::chrono::milliseconds(1000),
             .heartbeat_idle_connections = false,
-            .max_message_bytes = 66 << 20,
+            .max_message_bytes = static_cast<std::int64_t>(
+                max_body_bytes + max_message_header_bytes),
             .memory = std::move(memory)};
 }
 
