Limit the connections that others open between nodes

Callers saw: 300 strangers that connect to a node's call port held 309 descriptors; nothing limits them.

Cause: ZeroMQ accepts every connection, and has no limit for them.

Change: the node follows the events of its listening socket. It allows two connections for each listed instance, and 64 more for nodes that are not listed yet. Beyond that it shuts down the connection that has been open for longest without a message of another node; nodes send a heartbeat at once.

--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESPAN_PEER_MESSENGER_HPP
 
 #include "jujubespan/config/settings.hpp"
+#include "jujubespan/peer/incoming_connections.hpp"
 #include "jujubespan/peer/zmq_socket.hpp"
 #include "jujubespan/policy/string_map.hpp"
 #include "jujubespan/policy/time.hpp"
@@ -141,6 +142,10 @@
     {
         return connections_.size();
     }
+    [[nodiscard]] std::size_t incoming_count() const
+    {
+        return incoming_.count();
+    }
     [[nodiscard]] const messenger_counters& counters() const
     {
         return counters_;
@@ -159,10 +164,16 @@
     void set_envelope_header(v1::Envelope& message, std::string_view to) const;
     bool send_envelope(connection& to, const v1::Envelope& message);
     void receive_from_bound_socket();
+    void receive_incoming_events();
+    /// @brief Subscribes to the events of incoming connections. To be called
+    /// once: ZeroMQ's I/O thread waits for the receiver of an event, and a
+    /// second receiver is never served.
+    void watch_incoming();
     void receive_from_connection(connection& from);
     void receive_connection_events(connection& from);
     /// @param from null for messages to the bound socket.
-    void dispatch(const zmq::message_t& payload, const routing_id& reply_to,
+    /// @return false if the message is not one for this node.
+    bool dispatch(const zmq::message_t& payload, const routing_id& reply_to,
                   connection* from);
     bool send_heartbeat(connection& to);
     void drop_connection(const std::string& peer);
@@ -178,6 +189,9 @@
     message_handler& handler_;
     connection_options connection_options_;
     zmq_socket bound_socket_;
+    zmq_socket bound_monitor_;
+    incoming_connections incoming_;
+    std::uint16_t bound_port_{0};
     string_map<peer_address> addresses_;
     string_map<std::unique_ptr<connection>> connections_;
     /// When the last attempt to open a connection failed, by peer.
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -9,7 +9,9 @@
 
 #include <algorithm>
 #include <cstring>
+#include <netinet/in.h>
 #include <optional>
+#include <sys/socket.h>
 #include <vector>
 
 namespace jujubespan::peer
@@ -40,6 +42,47 @@
                                              std::min(remaining, pending_us));
 }
 
+struct monitor_event
+{
+    std::uint16_t kind{0};
+    std::uint32_t value{0}; // a descriptor in the events used here
+};
+
+// Nothing when no event is left.
+std::optional<monitor_event> receive_monitor_event(zmq_socket& monitor)
+{
+    zmq::message_t event;
+    zmq::message_t address;
+    monitor_event result;
+    if (!monitor.receive(event) || !monitor.receive(address))
+    {
+        return std::nullopt;
+    }
+    if (event.size() >= sizeof result.kind + sizeof result.value)
+    {
+        const auto* bytes = event.data<char>();
+        std::memcpy(&result.kind, bytes, sizeof result.kind);
+        std::memcpy(&result.value, bytes + sizeof result.kind,
+                    sizeof result.value);
+    }
+    return result;
+}
+
+// Makes ZeroMQ close a connection. The event that named its descriptor may be
+// outdated, so nothing is done unless it still belongs to the listening port.
+void shut_down_connection(int descriptor, std::uint16_t listening_port)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    if (::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address),
+                      &size) == 0 &&
+        address.sin_family == AF_INET &&
+        ntohs(address.sin_port) == listening_port)
+    {
+        ::shutdown(descriptor, SHUT_RDWR);
+    }
+}
+
 } // namespace
 
 // An outgoing connection to one peer.
@@ -99,15 +142,22 @@
     : context_(context), own_id_(std::move(own_id)), incarnation_(incarnation),
       keys_(keys), handler_(handler), connection_options_(options),
       bound_socket_(context, zmq::socket_type::router,
-                    [this] { receive_from_bound_socket(); })
+                    [this] { receive_from_bound_socket(); }),
+      bound_monitor_(context, zmq::socket_type::pair,
+                     [this] { receive_incoming_events(); })
 {
     configure_server(bound_socket_.raw(), keys_, connection_options_);
+    watch_incoming();
 }
 
-messenger::~messenger() = default;
+messenger::~messenger()
+{
+    zmq_socket_monitor(bound_socket_.raw().handle(), nullptr, 0);
+}
 
 absl::Status messenger::bind(const config::endpoint& address)
 {
+    bound_port_ = address.port;
     try
     {
         bound_socket_.bind(fmt::format("tcp://{}", config::to_string(address)));
@@ -145,6 +195,7 @@
         }
     }
     addresses_ = std::move(new_addresses);
+    incoming_.set_peer_count(addresses_.size());
     for (const auto& id : removed_or_changed)
     {
         connect_failed_at_.erase(id);
@@ -370,7 +421,12 @@
             ++counters_.malformed;
             continue;
         }
-        dispatch(payload, routing_id(sender_frame.to_string()), nullptr);
+        const bool identified =
+            dispatch(payload, routing_id(sender_frame.to_string()), nullptr);
+        if (identified && incoming_.has_unidentified())
+        {
+            incoming_.on_identified(payload.get(ZMQ_SRCFD));
+        }
     }
 }
 
@@ -393,7 +449,7 @@
     }
 }
 
-void messenger::dispatch(const zmq::message_t& payload,
+bool messenger::dispatch(const zmq::message_t& payload,
                          const routing_id& reply_to, connection* from)
 {
     ++counters_.received;
@@ -403,17 +459,17 @@
                                 static_cast<int>(payload.size())))
     {
         ++counters_.malformed;
-        return;
+        return false;
     }
     if (message.version() != protocol_version)
     {
         ++counters_.wrong_version;
-        return;
+        return false;
     }
     if (message.to() != own_id_)
     {
         ++counters_.wrong_receiver;
-        return;
+        return false;
     }
     if (from != nullptr)
     {
@@ -431,23 +487,46 @@
         }
     }
     handler_.on_message(message, reply_to);
+    return true;
+}
+
+void messenger::watch_incoming()
+{
+    const auto name = fmt::format("inproc://monitor-{}", fmt::ptr(this));
+    if (zmq_socket_monitor(bound_socket_.raw().handle(), name.c_str(),
+                           ZMQ_EVENT_ACCEPTED | ZMQ_EVENT_DISCONNECTED) != 0)
+    {
+        throw zmq::error_t();
+    }
+    bound_monitor_.connect(name);
+    bound_monitor_.start_watching();
+}
+
+void messenger::receive_incoming_events()
+{
+    while (const auto event = receive_monitor_event(bound_monitor_))
+    {
+        const auto descriptor = static_cast<int>(event->value);
+        if (event->kind == ZMQ_EVENT_DISCONNECTED)
+        {
+            incoming_.on_closed(descriptor);
+        }
+        else if (const auto surplus = incoming_.on_accepted(descriptor))
+        {
+            log(log_level::warn, "peer_connection_closed", "connections={}",
+                incoming_.count());
+            shut_down_connection(*surplus, bound_port_);
+        }
+    }
 }
 
 void messenger::receive_connection_events(connection& from)
 {
     const std::string id = from.id;
     bool connection_lost = false;
-    zmq::message_t event;
-    zmq::message_t address;
-    while (from.monitor.receive(event))
+    while (const auto event = receive_monitor_event(from.monitor))
     {
-        if (!from.monitor.receive(address) || event.size() < 2)
-        {
-            continue;
-        }
-        std::uint16_t kind = 0;
-        std::memcpy(&kind, event.data(), sizeof kind);
-        if (kind == ZMQ_EVENT_HANDSHAKE_SUCCEEDED)
+        if (event->kind == ZMQ_EVENT_HANDSHAKE_SUCCEEDED)
         {
             from.connected = true;
             from.unanswered_calls = 0;
@@ -458,7 +537,7 @@
                 send_heartbeat(from); // Finds out whether the peer answers it.
             }
         }
-        else if (kind == ZMQ_EVENT_DISCONNECTED)
+        else if (event->kind == ZMQ_EVENT_DISCONNECTED)
         {
             connection_lost = connection_lost || from.connected;
             from.connected = false;
