Close connections between nodes that carry no messages of a node

Callers saw: 8 strangers that send 40 messages of 3 MB each to a node's call port as fast as they can brought it to 957 MiB, with max_buffered_bytes at 4 MiB.

Cause: ZeroMQ queues up to 1,000 messages of each connection, and the node parsed each of them, which takes longer than to receive it: bytes that are no message become unknown fields, which occupy eight times their size.

Change: a message that does not begin with the version field is not parsed, and a connection that carries a malformed message is reset. Other nodes send none.

--- a/include/jujubespan/peer/messenger.hpp
+++ b/include/jujubespan/peer/messenger.hpp
@@ -154,6 +154,13 @@
 private:
     struct connection;
 
+    enum class message_validity
+    {
+        accepted,
+        not_for_this_node,
+        malformed
+    };
+
     [[nodiscard]] bool can_connect(std::string_view peer, time_point now) const;
     /// @return null if the connection could not be opened.
     connection* connect(std::string_view peer, time_point now);
@@ -165,6 +172,8 @@
     bool send_envelope(connection& to, const v1::Envelope& message);
     void receive_from_bound_socket();
     void receive_incoming_events();
+    /// @brief Records that another node, or a stranger, sent a message.
+    void on_incoming_message(zmq::message_t& payload, message_validity result);
     /// @brief Subscribes to the events of incoming connections. To be called
     /// once: ZeroMQ's I/O thread waits for the receiver of an event, and a
     /// second receiver is never served.
@@ -172,9 +181,8 @@
     void receive_from_connection(connection& from);
     void receive_connection_events(connection& from);
     /// @param from null for messages to the bound socket.
-    /// @return false if the message is not one for this node.
-    bool dispatch(const zmq::message_t& payload, const routing_id& reply_to,
-                  connection* from);
+    message_validity dispatch(const zmq::message_t& payload,
+                              const routing_id& reply_to, connection* from);
     bool send_heartbeat(connection& to);
     void drop_connection(const std::string& peer);
     void send_pending(connection& to);
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cstring>
 #include <netinet/in.h>
 #include <optional>
@@ -42,6 +43,30 @@
                                              std::min(remaining, pending_us));
 }
 
+// The version is the first field of each message. Other bytes are not parsed:
+// parsed as unknown fields, they occupy a multiple of their size.
+bool begins_with_version(const zmq::message_t& payload)
+{
+    constexpr char version_tag = v1::Envelope::kVersionFieldNumber
+                                 << 3; // wire type 0, a varint
+    return payload.size() > 0 && *payload.data<char>() == version_tag;
+}
+
+// Descriptor of the connection over which a message arrived; negative if
+// ZeroMQ does not know it, as with encryption.
+int descriptor_of(zmq::message_t& payload)
+{
+    return zmq_msg_get(payload.handle(), ZMQ_SRCFD);
+}
+
+// Makes the addresses of monitors unique: ZeroMQ frees one some time after its
+// socket is closed.
+std::uint64_t next_monitor_number()
+{
+    static std::atomic<std::uint64_t> last{0};
+    return ++last;
+}
+
 struct monitor_event
 {
     std::uint16_t kind{0};
@@ -79,7 +104,10 @@
         address.sin_family == AF_INET &&
         ntohs(address.sin_port) == listening_port)
     {
-        ::shutdown(descriptor, SHUT_RDWR);
+        // Reset: a peer that goes on sending would wait for room otherwise.
+        const linger reset{1, 0};
+        ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        ::shutdown(descriptor, SHUT_RD);
     }
 }
 
@@ -253,9 +281,8 @@
 std::unique_ptr<messenger::connection>
 messenger::open_connection(const peer_address& address, time_point now)
 {
-    static std::uint64_t next_monitor_number = 0;
     auto created = std::make_unique<connection>(*this, address.id,
-                                                ++next_monitor_number, now);
+                                                next_monitor_number(), now);
     auto& raw = created->socket.raw();
     configure_client(raw, keys_, address.public_key, connection_options_);
     if (zmq_socket_monitor(raw.handle(), created->monitor_name.c_str(),
@@ -421,12 +448,9 @@
             ++counters_.malformed;
             continue;
         }
-        const bool identified =
-            dispatch(payload, routing_id(sender_frame.to_string()), nullptr);
-        if (identified && incoming_.has_unidentified())
-        {
-            incoming_.on_identified(payload.get(ZMQ_SRCFD));
-        }
+        on_incoming_message(
+            payload,
+            dispatch(payload, routing_id(sender_frame.to_string()), nullptr));
     }
 }
 
@@ -449,27 +473,45 @@
     }
 }
 
-bool messenger::dispatch(const zmq::message_t& payload,
-                         const routing_id& reply_to, connection* from)
+// Nodes send no malformed message. A stranger that sends long ones would fill
+// the queues of ZeroMQ faster than they are parsed.
+void messenger::on_incoming_message(zmq::message_t& payload,
+                                    message_validity result)
+{
+    if (result == message_validity::malformed)
+    {
+        shut_down_connection(descriptor_of(payload), bound_port_);
+    }
+    else if (result == message_validity::accepted &&
+             incoming_.has_unidentified())
+    {
+        incoming_.on_identified(descriptor_of(payload));
+    }
+}
+
+messenger::message_validity messenger::dispatch(const zmq::message_t& payload,
+                                                const routing_id& reply_to,
+                                                connection* from)
 {
     ++counters_.received;
     counters_.received_bytes += payload.size();
     v1::Envelope message;
-    if (!message.ParseFromArray(payload.data(),
+    if (!begins_with_version(payload) ||
+        !message.ParseFromArray(payload.data(),
                                 static_cast<int>(payload.size())))
     {
         ++counters_.malformed;
-        return false;
+        return message_validity::malformed;
     }
     if (message.version() != protocol_version)
     {
         ++counters_.wrong_version;
-        return false;
+        return message_validity::not_for_this_node;
     }
     if (message.to() != own_id_)
     {
         ++counters_.wrong_receiver;
-        return false;
+        return message_validity::not_for_this_node;
     }
     if (from != nullptr)
     {
@@ -487,12 +529,13 @@
         }
     }
     handler_.on_message(message, reply_to);
-    return true;
+    return message_validity::accepted;
 }
 
 void messenger::watch_incoming()
 {
-    const auto name = fmt::format("inproc://monitor-{}", fmt::ptr(this));
+    const auto name =
+        fmt::format("inproc://incoming-monitor-{}", next_monitor_number());
     if (zmq_socket_monitor(bound_socket_.raw().handle(), name.c_str(),
                            ZMQ_EVENT_ACCEPTED | ZMQ_EVENT_DISCONNECTED) != 0)
     {
