Take an answer with a status below 100 for a failure

Callers saw: after a backend server's answer with status 000, nothing until the deadline, then 504. It was not passed on as an answer.

Cause: every status below 200 was skipped as an interim response, and the node waited for the final one.

Change: a status below 100 makes the response malformed, also before its body is complete. The exchange has failed: the caller gets 502 at once, an idempotent request may be retried, and the connection is closed.

Evidence: response_parser.status_below_100_is_malformed and backends_test.Statuses.test_status_000 (504 instead of 502) failed before.

--- a/exhaustion/backends_test.py
+++ b/exhaustion/backends_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+import store_standin as platform_store
 from exhaustion.deployment import encode_request, exchange
 from exhaustion.testcase import ExhaustionTestCase
 
@@ -87,6 +88,26 @@
             released.set()
 
 
+class Statuses(ExhaustionTestCase):
+    async def test_status_000(self):
+        """An answer without a valid status is no answer."""
+        await self.deploy()
+
+        async def answer(message, writer):
+            if message.words[1] != "/front/broken":
+                return await self.backend.answer_with_size(message, writer)
+            writer.write(b"HTTP/1.1 000 Error\r\nContent-Length: 2\r\n\r\nno")
+            return True
+        self.backend.answer = answer
+        response = await exchange(
+            self.node.address("client"),
+            encode_request("/front/broken", "broken",
+                           {platform_store.DEADLINE_MS: "3000"}))
+        self.assertIsNotNone(response)
+        self.assertEqual(response.status, 502)
+        await self.check_nodes()
+
+
 class Requests(ExhaustionTestCase):
     async def test_requests_that_are_not_read(self):
         """Requests wait for a backend server that reads nothing."""
--- a/src/jujubespan/http/codec.cpp
+++ b/src/jujubespan/http/codec.cpp
@@ -24,6 +24,7 @@
 using parser = bhttp::parser<is_request, bhttp::string_body>;
 
 constexpr unsigned http_1_1 = 11;
+constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
 constexpr unsigned max_interim_responses = 16;
 // The library holds the length of a header field in 16 bits.
@@ -319,6 +320,12 @@
         {
             state_->field_memory = parsed_field_memory(message_parser);
         }
+        if (message_parser.is_header_done() &&
+            message_parser.get().result_int() < first_status)
+        {
+            state_->error_message = "status is below 100";
+            return parse_state::malformed;
+        }
         if (result == parse_state::complete &&
             message_parser.get().result_int() < first_final_status)
         {
--- a/src/jujubespan/http/codec_test.cpp
+++ b/src/jujubespan/http/codec_test.cpp
@@ -221,5 +221,21 @@
     EXPECT_EQ(response.take_message().body, body + "z");
 }
 
+// Taken for an interim response, it kept the caller waiting until the timeout.
+TEST(response_parser, status_below_100_is_malformed)
+{
+    for (const char* status : {"000", "001", "099"})
+    {
+        response_parser parser({}, false);
+        QByteArray bytes = QByteArray("HTTP/1.1 ") + status +
+                           " Error\r\nContent-Length: 2\r\n\r\nno";
+        EXPECT_EQ(parser.parse(bytes), parse_state::malformed) << status;
+    }
+    response_parser parser({}, false);
+    QByteArray bytes = "HTTP/1.1 100 Continue\r\n\r\n"
+                       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    EXPECT_EQ(parser.parse(bytes), parse_state::complete);
+}
+
 } // namespace
 } // namespace jujubespan::http
