--- a/include/jujubespan/http/server.hpp
+++ b/include/jujubespan/http/server.hpp
@@ -100,6 +100,9 @@
     /// @param except a connection that is kept; null: none.
     /// @return false if there was no connection to close.
     bool close_longest_waiting(const server_connection* except);
+    /// @brief Logs a connection that is about to be closed, at most one per
+    /// second.
+    void log_slow_client(const server_connection& connection, time_point now);
     /// @return false if a request is in progress on every connection.
     bool close_longest_idle();
     /// @brief The connection with the earliest of the times that `since`
@@ -117,6 +120,8 @@
     QTimer expiry_timer_;
     bool close_after_response_{false};
     memory_account memory_;
+    time_point next_slow_client_log_{};
+    std::size_t closed_since_log_{0}; // connections of slow clients
     std::uint64_t next_exchange_{1};
     absl::flat_hash_map<server_connection*, std::unique_ptr<server_connection>>
         connections_;
--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <optional>
 #include <sys/socket.h>
+#include <utility>
 #include <vector>
 
 namespace jujubespan::http
@@ -26,6 +27,7 @@
 constexpr duration max_discard_time = std::chrono::seconds(2);
 // Connections beyond the limit that are told so; others are closed.
 constexpr std::size_t max_rejections = 64;
+constexpr duration slow_client_log_interval = std::chrono::seconds(1);
 // Share of the memory that large requests leave to others.
 constexpr std::size_t reserve_divisor = 8;
 constexpr unsigned bad_request = 400;
@@ -78,8 +80,9 @@
     ~server_connection()
     {
         socket_->disconnect();
-        socket_
-            ->abort(); // Releases the unsent bytes before `deleteLater` does.
+        // Releases the unsent bytes now; `deleteLater` does it only when
+        // control has returned to the event loop.
+        socket_->abort();
         socket_->deleteLater();
         if (exchange_ != 0)
         {
@@ -536,10 +539,7 @@
     {
         return false;
     }
-    log(log_level::warn, "slow_client_closed",
-        "address={} unsent_bytes={} waiting_ms={}", address_text_,
-        longest->unsent_bytes(),
-        milliseconds(boot_clock::now() - *longest->waiting_since()));
+    log_slow_client(*longest, boot_clock::now());
     if (longest->has_unsent_bytes())
     {
         remove_connection(longest);
@@ -551,6 +551,22 @@
     return true;
 }
 
+void server::log_slow_client(const server_connection& connection,
+                             time_point now)
+{
+    ++closed_since_log_;
+    if (now < next_slow_client_log_)
+    {
+        return;
+    }
+    next_slow_client_log_ = now + slow_client_log_interval;
+    log(log_level::warn, "slow_client_closed",
+        "address={} unsent_bytes={} waiting_ms={} closed={}", address_text_,
+        connection.unsent_bytes(),
+        milliseconds(now - connection.waiting_since().value_or(now)),
+        std::exchange(closed_since_log_, 0));
+}
+
 bool server::close_longest_idle()
 {
     auto* longest = find_earliest(nullptr, &server_connection::idle_since);
