--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -316,12 +316,14 @@
                     static_cast<std::size_t>(socket_->bytesToWrite()));
     }
 
-    // A request leaves as much room as it takes, so that large ones are
-    // refused first and small ones are still served.
+    // Unless it is the only one, a request leaves as much room as it takes, so
+    // that large ones are refused first and small ones are still served.
     bool make_room_for_request()
     {
-        const auto reserve = owner_.memory_.limit() / reserve_divisor;
-        return make_room(std::min(charge_.bytes(), reserve));
+        const auto& memory = owner_.memory_;
+        const auto reserve = memory.limit() / reserve_divisor;
+        const bool is_alone = memory.used() == charge_.bytes();
+        return make_room(is_alone ? 0 : std::min(charge_.bytes(), reserve));
     }
 
     // Closes other connections until the limits leave room for some bytes.
--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -178,6 +178,19 @@
     EXPECT_TRUE(wait_for([&] { return handler.requests.size() == 2; }));
 }
 
+// Room is left for others only while there are others.
+TEST_F(http_server, single_request_may_take_all_memory)
+{
+    limits.max_buffered_bytes = 5000;
+    limits.max_body_bytes = 5000;
+    server bounded(limits, handler);
+    address = free_endpoint();
+    ASSERT_TRUE(bounded.listen(address).ok());
+    auto client = connect("POST / HTTP/1.1\r\nContent-Length: 4500\r\n\r\n" +
+                          QByteArray(4500, 'x'));
+    EXPECT_TRUE(wait_for([&] { return handler.requests.size() == 1; }));
+}
+
 // Unsent responses were not counted, so that slow clients could use up the
 // memory of the process.
 TEST_F(http_server, longest_unread_response_makes_room_for_others)
--- a/src/jujubespan/peer/messenger.cpp
+++ b/src/jujubespan/peer/messenger.cpp
@@ -49,7 +49,7 @@
 {
     constexpr char version_tag = v1::Envelope::kVersionFieldNumber
                                  << 3; // wire type 0, a varint
-    return payload.size() > 0 && *payload.data<char>() == version_tag;
+    return !payload.empty() && *payload.data<char>() == version_tag;
 }
 
 // Descriptor of the connection over which a message arrived; negative if
