Log who ended an outage of discovery, and which removals are deferred

The log did not tell whether a node that was cut off heard of its return by its own call or from another node, how long removals were deferred from then on, and which ones were. Its times had a resolution of one second, although milliseconds were formatted: fmt prints none for %T.

--- a/include/jujubespan/mesh/instance_directory.hpp
+++ b/include/jujubespan/mesh/instance_directory.hpp
@@ -80,6 +80,19 @@
     [[nodiscard]] std::vector<instance> all() const;
     [[nodiscard]] std::size_t size() const { return instances_.size(); }
 
+    /// @brief Time until which removals that are learned now are deferred; the
+    /// past or nothing if they are not.
+    [[nodiscard]] std::optional<time_point> defer_until() const
+    {
+        return defer_until_;
+    }
+
+    /// @brief Number of instances whose removal is deferred.
+    [[nodiscard]] std::size_t pending_removals() const
+    {
+        return pending_removals_.size();
+    }
+
 private:
     [[nodiscard]] bool defers_removals(time_point now) const;
     void erase(const std::string& id);
--- a/include/jujubespan/node/mesh_control.hpp
+++ b/include/jujubespan/node/mesh_control.hpp
@@ -60,6 +60,8 @@
 
     void apply_update(const std::string& peer,
                       const mesh::discovery_update& update);
+    /// @param answered_by "store", or the node that the source answered.
+    void restore_contact(std::string_view answered_by);
     void confirm(std::uint64_t revision, time_point as_of);
     void forward(mesh::discovery_update update);
     void update_reading();
--- a/src/jujubespan/metrics/log.cpp
+++ b/src/jujubespan/metrics/log.cpp
@@ -127,7 +127,8 @@
     const auto suffix =
         *dropped == 0 ? std::string() : fmt::format(" dropped={}", *dropped);
     const bool written = write_line(fmt::format(
-        "time={:%FT%T}Z level={} event={} {}{}\n", now,
+        "time={:%FT%T}.{:03}Z level={} event={} {}{}\n", now,
+        now.time_since_epoch().count() % 1000,
         level_names[static_cast<std::size_t>(level)], event, fields, suffix));
     if (!written)
     {
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -180,18 +180,23 @@
 
 void mesh_control::on_instance_removed(std::string_view id)
 {
-    log(log_level::info, "instance_unlisted", "instance={} revision={}", id,
-        history_revision_text(source_->revision()));
+    const auto pending_before = directory_.pending_removals();
     directory_.remove(id, boot_clock::now());
+    log(log_level::info, "instance_unlisted",
+        "instance={} deferred={} revision={}", id,
+        directory_.pending_removals() > pending_before,
+        history_revision_text(source_->revision()));
     schedule_publish();
 }
 
 void mesh_control::on_complete(std::span<const std::string> ids)
 {
-    log(log_level::info, "discovery_read", "instances={} revision={}",
-        ids.size(), history_revision_text(source_->revision()));
     discovery_complete_ = true;
     directory_.retain_only(ids, boot_clock::now());
+    log(log_level::info, "discovery_read",
+        "instances={} deferred_removals={} revision={}", ids.size(),
+        directory_.pending_removals(),
+        history_revision_text(source_->revision()));
     schedule_publish();
 }
 
@@ -211,14 +216,23 @@
 
 void mesh_control::on_restored()
 {
+    restore_contact("store");
+}
+
+void mesh_control::restore_contact(std::string_view answered_by)
+{
+    const auto now = boot_clock::now();
+    directory_.on_restored(now);
     if (discovery_interrupted_)
     {
-        log(log_level::info, "discovery_back", "revision={}",
+        const auto deferred_for = directory_.defer_until().value_or(now) - now;
+        log(log_level::info, "discovery_back",
+            "by={} removals_deferred_ms={} revision={}", answered_by,
+            std::max<std::int64_t>(milliseconds(deferred_for), 0),
             history_revision_text(source_->revision()));
     }
     discovery_interrupted_ = false;
     contact_before_reading_.reset();
-    directory_.on_restored(boot_clock::now());
 }
 
 void mesh_control::on_history_replaced()
@@ -290,7 +304,7 @@
     // source was unavailable.
     if (mesh::discovery_sharing::is_recent(update.age))
     {
-        on_restored();
+        restore_contact(peer);
     }
     // A state older than this node's shows nothing about its present validity.
     const bool is_current = update.changes.revision >= source_->revision();
@@ -409,7 +423,8 @@
     }
     if (directory_.expire(boot_clock::now()))
     {
-        log(log_level::info, "instances_expired", "left={}", directory_.size());
+        log(log_level::info, "instances_expired", "left={} deferred={}",
+            directory_.size(), directory_.pending_removals());
         schedule_publish();
     }
     if (++tick_count_ % ticks_per_file_check == 0 &&
