Decide the delays between failing calls to the store in a module of their own

Behaviour is unchanged. The delays, and the wait and timeout of a call after a failure, were constants of the store client. How soon a node that was cut off knows what it missed follows from them, and can now be tested without a network.

--- a/include/jujubespan/mesh/discovery.hpp
+++ b/include/jujubespan/mesh/discovery.hpp
@@ -3,13 +3,12 @@
 
 #include "jujubespan/config/endpoint.hpp"
 #include "jujubespan/mesh/configuration.hpp"
+#include "jujubespan/mesh/discovery_retry.hpp"
 #include "jujubespan/policy/history_revision.hpp"
 #include "jujubespan/policy/instance.hpp"
 #include "jujubespan/policy/time.hpp"
 #include "jujubespan/policy/versioned_map.hpp"
 
-#include <absl/status/status.h>
-
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -34,7 +33,7 @@
     /// exist.
     virtual void on_complete(std::span<const std::string> ids) = 0;
 
-    virtual void on_interrupted(const absl::Status& error) = 0;
+    virtual void on_interrupted(const failed_call& call) = 0;
     virtual void on_restored() = 0;
 
     /// @brief The source was restored from an older copy of itself. A full read
--- a/include/jujubespan/node/mesh_control.hpp
+++ b/include/jujubespan/node/mesh_control.hpp
@@ -45,7 +45,7 @@
     void on_instance(const instance& item) override;
     void on_instance_removed(std::string_view id) override;
     void on_complete(std::span<const std::string> ids) override;
-    void on_interrupted(const absl::Status& error) override;
+    void on_interrupted(const mesh::failed_call& call) override;
     void on_restored() override;
     void on_history_replaced() override;
     void on_read(const versioned_delta& changes, time_point as_of) override;
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -200,12 +200,12 @@
     schedule_publish();
 }
 
-void mesh_control::on_interrupted(const absl::Status& error)
+void mesh_control::on_interrupted(const mesh::failed_call& call)
 {
     if (!discovery_interrupted_)
     {
         log(log_level::warn, "discovery_lost", "revision={} why=\"{}\"",
-            history_revision_text(source_->revision()), text_of(error));
+            history_revision_text(source_->revision()), text_of(call.error));
     }
     discovery_interrupted_ = true;
     directory_.on_interrupted(
