Date an outage of discovery from the first call that got no response

After a cut of three to four seconds, a node could take all servers out of use whose entries had expired meanwhile, although they were alive, until their next reports.

Cause: removals are deferred after an outage of 1.5 s, which began when the first call was given up. A node that reads for itself asks for a wait of 2 s and gives up after 2.7 s, so that it took a cut of four seconds for one of 1.3 s.

Change: an outage begins when the first call was sent that timed out or found no connection. A call whose connection is closed counts from its end, as before: the store ends watches without being away. So that the longer outages defer no removal beyond the bound, none is deferred for longer than 2.8 s after the last call without a response was sent. A call that the store refuses lifts that limit, since entries may be missing for two seconds after its return.

Test: return_from_cut.instance_whose_entry_expired_is_used_for_two_seconds with the new pattern subscriber_without_reader failed before (5 ms instead of 2 s after the cut).

--- a/include/jujubespan/mesh/discovery_retry.hpp
+++ b/include/jujubespan/mesh/discovery_retry.hpp
@@ -20,6 +20,10 @@
 struct failed_call
 {
     time_point sent_at{};
+    /// Time from which on the source or the path to it may have been away.
+    /// Later than `sent_at` if the connection was closed, which shows that the
+    /// path was there until then.
+    time_point away_since{};
     /// The source refused the call or sent something unreadable. False if no
     /// response arrived: the source or the path to it may be away.
     bool answered{false};
--- a/include/jujubespan/mesh/instance_directory.hpp
+++ b/include/jujubespan/mesh/instance_directory.hpp
@@ -51,8 +51,11 @@
     /// @brief Removes all instances that are not in a complete list.
     void retain_only(std::span<const std::string> ids, time_point now);
 
-    /// @brief Discovery became unavailable.
-    void on_interrupted(time_point now);
+    /// @brief A call to discovery failed.
+    /// @param since time from which on discovery may have been unavailable.
+    /// @param unanswered_call_at when the call was sent, if it got no response.
+    void on_interrupted(time_point since,
+                        std::optional<time_point> unanswered_call_at = {});
 
     /// @brief Discovery is available again.
     void on_restored(time_point now);
@@ -107,6 +110,7 @@
     string_map<time_point> pending_removals_;        // due time, by id
     string_map<std::uint64_t> removed_incarnations_; // by id
     std::optional<time_point> interrupted_at_;
+    std::optional<time_point> unanswered_call_at_; // the last one
     std::optional<time_point> defer_until_;
 };
 
--- a/src/jujubespan/mesh/instance_directory.cpp
+++ b/src/jujubespan/mesh/instance_directory.cpp
@@ -15,6 +15,10 @@
 // Entries of live instances have reappeared this long after discovery
 // recovers.
 constexpr duration removal_delay = std::chrono::milliseconds(2000);
+// A call that got no response shows that the path was still away when it was
+// sent. Three seconds after the end of a cut, removals must be in force.
+constexpr duration max_delay_after_unanswered_call =
+    std::chrono::milliseconds(2800);
 constexpr std::size_t max_removed_ids = 4096;
 
 } // namespace
@@ -99,12 +103,14 @@
     }
 }
 
-void instance_directory::on_interrupted(time_point now)
+void instance_directory::on_interrupted(
+    time_point since, std::optional<time_point> unanswered_call_at)
 {
     if (!interrupted_at_)
     {
-        interrupted_at_ = now;
+        interrupted_at_ = since;
     }
+    unanswered_call_at_ = unanswered_call_at;
 }
 
 void instance_directory::on_restored(time_point now)
@@ -112,8 +118,15 @@
     if (interrupted_at_ && now - *interrupted_at_ >= min_outage)
     {
         defer_until_ = now + removal_delay;
+        if (unanswered_call_at_)
+        {
+            defer_until_ =
+                std::min(*defer_until_, *unanswered_call_at_ +
+                                            max_delay_after_unanswered_call);
+        }
     }
     interrupted_at_.reset();
+    unanswered_call_at_.reset();
 }
 
 void instance_directory::on_history_replaced(time_point now)
--- a/src/jujubespan/mesh/return_from_cut_test.cpp
+++ b/src/jujubespan/mesh/return_from_cut_test.cpp
@@ -41,7 +41,8 @@
 constexpr std::array patterns{
     reading_pattern{"root", 0ms, 500ms, 800ms},
     reading_pattern{"relay", 1200ms, 500ms, 800ms},
-    reading_pattern{"subscriber", 1600ms, 2000ms, 1600ms}};
+    reading_pattern{"subscriber", 1600ms, 2000ms, 1600ms},
+    reading_pattern{"subscriber_without_reader", 0ms, 2000ms, 1600ms}};
 
 // A node whose path to discovery is cut from `cut_at` until `cut_end`. A call
 // that is in progress at any time of the cut gets no response.
@@ -108,9 +109,11 @@
             }
             if (!answered)
             {
-                const failed_call call{sent_at, false, {}};
-                list.on_interrupted(
-                    failures == 0 && relies_on_updates() ? last_contact : end);
+                const failed_call call{sent_at, sent_at, false, {}};
+                list.on_interrupted(failures == 0 && relies_on_updates()
+                                        ? last_contact
+                                        : call.away_since,
+                                    call.sent_at);
                 short_call = true;
                 next_call =
                     end + retry_delay(call, failures++, pattern.max_retry_delay,
@@ -246,8 +249,9 @@
             for (duration took = 0ms; took <= probe_wait + response_margin;
                  took += 10ms)
             {
-                const auto delay = retry_delay({begin, false, {}}, failures,
-                                               1600ms, jitter, begin + took);
+                const auto delay =
+                    retry_delay({begin, begin, false, {}}, failures, 1600ms,
+                                jitter, begin + took);
                 longest = std::max(longest, took + delay);
                 shortest = std::min(shortest, delay);
             }
@@ -261,7 +265,7 @@
 // A store that refuses calls is asked less often.
 TEST(retry_delay, calls_that_are_refused_wait_up_to_the_given_delay)
 {
-    const failed_call refused{begin, true, {}};
+    const failed_call refused{begin, begin, true, {}};
     EXPECT_EQ(retry_delay(refused, 0, 1600ms, 1, begin), 120ms);
     EXPECT_EQ(retry_delay(refused, 2, 1600ms, 1, begin), 480ms);
     EXPECT_EQ(retry_delay(refused, 9, 1600ms, 1, begin), 1600ms);
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -208,8 +208,9 @@
             history_revision_text(source_->revision()), text_of(call.error));
     }
     discovery_interrupted_ = true;
-    directory_.on_interrupted(
-        contact_before_reading_.value_or(boot_clock::now()));
+    directory_.on_interrupted(contact_before_reading_.value_or(call.away_since),
+                              call.answered ? std::nullopt
+                                            : std::optional(call.sent_at));
     sharing_.on_interrupted();
     update_reading();
 }
