Defer removals learned during a second outage

A removal that a delayed update of another node brought during an outage was performed at once if there had been an outage before, since the time until which removals had been deferred then was used again. Its instance may be alive; it was out of use until its next report.

Test: instance_directory_test.removal_learned_during_a_second_outage_is_deferred failed before.

--- a/src/jujubespan/mesh/instance_directory.cpp
+++ b/src/jujubespan/mesh/instance_directory.cpp
@@ -79,8 +79,9 @@
     }
     if (defers_removals(now))
     {
-        pending_removals_.try_emplace(
-            key, defer_until_.value_or(now + removal_delay));
+        // The time of an earlier outage may have passed.
+        pending_removals_.try_emplace(key, interrupted_at_ ? now + removal_delay
+                                                           : *defer_until_);
         return;
     }
     erase(key);
--- a/src/jujubespan/mesh/instance_directory_test.cpp
+++ b/src/jujubespan/mesh/instance_directory_test.cpp
@@ -80,6 +80,20 @@
     EXPECT_EQ(list.state("a"), instance_state::removed);
 }
 
+// Guards against a deferral that has ended before the removal is learned: an
+// update that was delayed for long arrives during a later outage.
+TEST_F(instance_directory_test,
+       removal_learned_during_a_second_outage_is_deferred)
+{
+    list.on_interrupted(start);
+    list.on_restored(start + 5s);
+    list.on_interrupted(start + 60s);
+    list.remove("a", start + 61s);
+    EXPECT_FALSE(list.expire(start + 62900ms));
+    EXPECT_EQ(list.state("a"), instance_state::usable);
+    EXPECT_TRUE(list.expire(start + 63s));
+}
+
 TEST_F(instance_directory_test, leaving_is_never_deferred)
 {
     list.on_interrupted(start);
