--- a/include/jujubespan/mesh/instance_directory.hpp
+++ b/include/jujubespan/mesh/instance_directory.hpp
@@ -68,6 +68,9 @@
     /// @return true when an instance was removed.
     bool expire(time_point now);
 
+    /// @brief Time of the next deferred removal, if there is one.
+    [[nodiscard]] std::optional<time_point> next_removal() const;
+
     [[nodiscard]] instance_state state(std::string_view id) const;
 
     /// @brief The entry of an instance; null when none is listed.
--- a/include/jujubespan/node/mesh_control.hpp
+++ b/include/jujubespan/node/mesh_control.hpp
@@ -68,6 +68,7 @@
     void schedule_publish();
     void publish_instances();
     void on_tick();
+    void expire_instances();
 
     config::mesh_settings options_;
     std::string settings_file_;
@@ -91,6 +92,7 @@
     unsigned tick_count_{0};
     QObject context_object_;
     QTimer tick_timer_;
+    QTimer removal_timer_; ///< For the next deferred removal.
     http::server metrics_server_;
 };
 
--- a/src/jujubespan/mesh/instance_directory.cpp
+++ b/src/jujubespan/mesh/instance_directory.cpp
@@ -158,6 +158,16 @@
     return !due.empty();
 }
 
+std::optional<time_point> instance_directory::next_removal() const
+{
+    std::optional<time_point> next;
+    for (const auto& [id, at] : pending_removals_)
+    {
+        next = std::min(next.value_or(at), at);
+    }
+    return next;
+}
+
 void instance_directory::erase(const std::string& id)
 {
     const auto found = instances_.find(id);
--- a/src/jujubespan/node/mesh_control.cpp
+++ b/src/jujubespan/node/mesh_control.cpp
@@ -106,6 +106,10 @@
 {
     QObject::connect(&tick_timer_, &QTimer::timeout, &context_object_,
                      [this] { on_tick(); });
+    removal_timer_.setSingleShot(true);
+    removal_timer_.setTimerType(Qt::PreciseTimer);
+    QObject::connect(&removal_timer_, &QTimer::timeout, &context_object_,
+                     [this] { expire_instances(); });
 }
 
 mesh_control::~mesh_control()
@@ -186,6 +190,7 @@
         "instance={} deferred={} revision={}", id,
         directory_.pending_removals() > pending_before,
         history_revision_text(source_->revision()));
+    expire_instances();
     schedule_publish();
 }
 
@@ -197,6 +202,7 @@
         "instances={} deferred_removals={} revision={}", ids.size(),
         directory_.pending_removals(),
         history_revision_text(source_->revision()));
+    expire_instances();
     schedule_publish();
 }
 
@@ -422,16 +428,26 @@
     {
         forward(sharing_.make_heartbeat(now));
     }
-    if (directory_.expire(boot_clock::now()))
+    if (++tick_count_ % ticks_per_file_check == 0 &&
+        modification_time(settings_file_) != settings_modified_at_)
+    {
+        reload_settings();
+    }
+}
+
+void mesh_control::expire_instances()
+{
+    const auto now = boot_clock::now();
+    if (directory_.expire(now))
     {
         log(log_level::info, "instances_expired", "left={} deferred={}",
             directory_.size(), directory_.pending_removals());
         schedule_publish();
     }
-    if (++tick_count_ % ticks_per_file_check == 0 &&
-        modification_time(settings_file_) != settings_modified_at_)
+    if (const auto next = directory_.next_removal())
     {
-        reload_settings();
+        removal_timer_.start(
+            std::chrono::ceil<std::chrono::milliseconds>(*next - now));
     }
 }
 
