Count the fields of heads that are not complete

The requests of all clients of a node ended with its process when a backend server sent heads of many short fields without an end and held them: 150 answers of 64 KB each took 223 MB, and so did 600 clients that stalled within heads of 16 KB (261 MB), where 16 MiB are allowed for messages and 160 MiB for the process.

Cause: the HTTP library holds each field as soon as its line has been parsed, in about 80 bytes beside its text. That memory was counted when the head was complete, so that a head which never ends was counted with its bytes only.

Change: the lines of a head are counted as they are parsed, in requests and in answers. The limits that exist then close the largest of them.

Tests: Answers.test_heads_of_many_short_fields_that_stall and Heads.test_heads_of_many_short_fields_that_stall failed before with the figures above, and http_codec.fields_of_an_incomplete_head_are_counted. Ten more tests send bytes that are no answer without end, in heads, bodies, after answers and on idle connections; they held before.

--- a/exhaustion/backends_test.py
+++ b/exhaustion/backends_test.py
@@ -64,16 +64,90 @@
         await self.press(STATUS_LINE + b"\r\n", b"x" * 64, 64 * MIB)
 
 
-    async def test_heads_of_many_short_fields_before_a_body_that_stalls(self):
-        """Parsed fields are held until the body is complete."""
+    async def test_bytes_without_lines_that_never_end(self):
+        """An answer is no HTTP, and has no line ends."""
+        await self.press(b"", bytes(range(128, 256)))
+
+    async def test_status_line_without_end(self):
+        """The reason of an answer never ends."""
+        await self.press(b"HTTP/1.1 200 ", b"r" * 64)
+
+    async def test_chunk_size_without_end(self):
+        """The size line of a chunk of an answer never ends."""
+        await self.press(
+            STATUS_LINE + b"Transfer-Encoding: chunked\r\n\r\n", b"0" * 64)
+
+    async def test_chunk_extensions_without_end(self):
+        """The extensions of a chunk of an answer never end."""
+        await self.press(
+            STATUS_LINE + b"Transfer-Encoding: chunked\r\n\r\n1;",
+            b"a=b;" * 16)
+
+    async def test_small_chunks_without_end(self):
+        """The chunks of an answer never end."""
+        await self.press(
+            STATUS_LINE + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n", 64 * MIB)
+
+    async def test_announced_length_without_end(self):
+        """A body has an announced length that no machine can hold."""
+        await self.press(
+            STATUS_LINE + b"Content-Length: 9000000000000000000\r\n\r\n",
+            b"x" * 64, 64 * MIB)
+
+    async def test_bytes_after_an_answer_without_end(self):
+        """Bytes that belong to no answer follow a complete one."""
+        await self.press(STATUS_LINE + b"Content-Length: 0\r\n\r\n",
+                         b"x" * 64, 64 * MIB)
+
+    async def test_body_of_an_answer_without_one_never_ends(self):
+        """Bytes follow an answer that has no body."""
+        await self.press(b"HTTP/1.1 204 No Content\r\n\r\n", b"x" * 64,
+                         64 * MIB)
+
+    async def test_answers_to_other_requests_without_end(self):
+        """Answers that belong to earlier requests never end."""
+        await self.press(b"", STATUS_LINE + b"Content-Length: 1\r\n"
+                         + platform_store.REQUEST_ID.encode()
+                         + b": other\r\n\r\nx", 64 * MIB)
+
+    async def test_bytes_on_idle_connections_without_end(self):
+        """Bytes arrive while no request waits for an answer."""
+        await self.deploy(max_buffered_bytes=16 * MIB)
+        senders = []
+
+        async def send_endlessly(writer):
+            await asyncio.sleep(0.2)  # Until the connection is idle.
+            try:
+                for _ in range(64 * MIB >> 16):
+                    writer.write(b"x" * (64 << 10))
+                    await writer.drain()
+            except OSError:
+                pass  # The node closed the connection.
+
+        async def answer(message, writer):
+            reusable = await self.backend.answer_with_size(message, writer)
+            if message.words[1].endswith("/100"):
+                senders.append(asyncio.create_task(send_endlessly(writer)))
+            return reusable
+        self.backend.answer = answer
+        await asyncio.gather(*[
+            exchange(self.node.address("client"),
+                     encode_request("/front/100", f"idle-{number}"))
+            for number in range(REQUESTS)])
+        await asyncio.gather(*senders)
+        self.assertEqual(len(senders), REQUESTS)
+        await self.check_nodes()
+
+    async def hold_after(self, start):
+        """The answers to many requests begin with `start`, then stall."""
         await self.deploy(max_buffered_bytes=16 * MIB, slots=1000)
         released = asyncio.Event()
 
         async def answer(message, writer):
             if message.words[1] != "/front/stalled":
                 return await self.backend.answer_with_size(message, writer)
-            writer.write(STATUS_LINE + b"Content-Length: 9\r\n"
-                         + b"a:\r\n" * 16_000 + b"\r\nbody")
+            writer.write(start)
             await released.wait()
             return False
         self.backend.answer = answer
@@ -87,6 +161,21 @@
         finally:
             released.set()
 
+    async def test_heads_of_many_short_fields_before_a_body_that_stalls(self):
+        """Parsed fields are held until the body is complete."""
+        await self.hold_after(STATUS_LINE + b"Content-Length: 9\r\n"
+                              + b"a:\r\n" * 16_000 + b"\r\nbody")
+
+    async def test_heads_of_many_short_fields_that_stall(self):
+        """Parsed fields are held until the head is complete."""
+        await self.hold_after(STATUS_LINE + b"a:\r\n" * 16_000)
+
+    async def test_trailers_of_many_short_fields_that_stall(self):
+        """Parsed trailers are held until all are complete."""
+        await self.hold_after(
+            STATUS_LINE + b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
+            + b"a:\r\n" * 16_000)
+
 
 class Statuses(ExhaustionTestCase):
     async def test_status_000(self):
--- a/exhaustion/clients_test.py
+++ b/exhaustion/clients_test.py
@@ -136,6 +136,17 @@
             released.set()
 
 
+    async def test_heads_of_many_short_fields_that_stall(self):
+        """Parsed fields are held until the head is complete."""
+        await self.deploy(max_connections=1400, max_buffered_bytes=16 * MIB)
+        for face in ("client", "readiness", "metrics"):
+            for _ in range(600):
+                connection = await self.crowd.connect(self.node.address(face))
+                await self.crowd.send(connection,
+                                      REQUEST_LINE + b"a:\r\n" * 3900)
+        await asyncio.sleep(1)
+        await self.check_nodes()
+
     async def test_heads_of_many_short_fields_before_a_body_that_stalls(self):
         """Parsed fields are held until the body is complete."""
         await self.deploy(max_connections=1400, max_buffered_bytes=16 * MIB)
--- a/include/jujubespan/http/codec.hpp
+++ b/include/jujubespan/http/codec.hpp
@@ -47,7 +47,7 @@
     http_request take_message();
 
     /// @brief Memory of the parsed header fields in addition to their bytes.
-    /// Zero until the header is complete.
+    /// Grows while the header is received.
     [[nodiscard]] std::size_t field_memory() const;
     [[nodiscard]] bool keep_alive() const;
     /// @brief True once a byte of the request has been received.
@@ -91,7 +91,7 @@
     http_response take_message();
 
     /// @brief Memory of the parsed header fields in addition to their bytes.
-    /// Zero until the header is complete.
+    /// Grows while the header is received.
     [[nodiscard]] std::size_t field_memory() const;
     [[nodiscard]] bool keep_alive() const;
     [[nodiscard]] std::string error_message() const;
--- a/src/jujubespan/http/codec.cpp
+++ b/src/jujubespan/http/codec.cpp
@@ -68,10 +68,11 @@
 // Parses from the front of the buffer and removes the parsed bytes. A part that
 // the parser only takes as a whole, such as the header of a chunk or the
 // trailers, is malformed beyond the limit of a header. The parser has no limit
-// for all of them, so it is never given more bytes at once.
+// for all of them, so it is never given more bytes at once. Adds the parsed
+// lines of the head to `head_lines`.
 template <bool is_request>
 parse_state parse_buffer(parser<is_request>& message_parser, QByteArray& buffer,
-                         const message_limits& limits,
+                         const message_limits& limits, std::size_t& head_lines,
                          std::string& error_message)
 {
     const auto limit = part_limit(limits);
@@ -83,7 +84,14 @@
             static_cast<std::size_t>(buffer.size() - parsed_bytes);
         const boost::asio::const_buffer next(buffer.constData() + parsed_bytes,
                                              std::min(unparsed_bytes, limit));
+        const bool in_head = !message_parser.is_header_done();
         const auto consumed = put_bytes(message_parser, next, error);
+        if (in_head)
+        {
+            const auto* begin = buffer.constData() + parsed_bytes;
+            head_lines += static_cast<std::size_t>(
+                std::count(begin, begin + consumed, '\n'));
+        }
         parsed_bytes += static_cast<qsizetype>(consumed);
         const bool needs_more = error == bhttp::error::need_more;
         const bool at_end = next.size() == unparsed_bytes;
@@ -180,15 +188,8 @@
 }
 
 // Memory of the fields that the parser holds, apart from their bytes: each is
-// an object in a list and an ordered set.
-template <bool is_request>
-std::size_t parsed_field_memory(const parser<is_request>& message_parser)
-{
-    constexpr std::size_t bytes_per_field = 80;
-    const auto& fields = message_parser.get().base();
-    return bytes_per_field * static_cast<std::size_t>(
-                                 std::distance(fields.begin(), fields.end()));
-}
+// an object in a list and an ordered set, also while the head is incomplete.
+constexpr std::size_t bytes_per_field = 80;
 
 bool has_no_body(unsigned status)
 {
@@ -205,7 +206,7 @@
     message_limits limits;
     parser<true> message_parser;
     bool started{false};
-    std::size_t field_memory{0};
+    std::size_t head_lines{0};
     std::string error_message;
 };
 
@@ -226,18 +227,13 @@
 parse_state request_parser::parse(QByteArray& buffer)
 {
     state_->started = state_->started || !buffer.isEmpty();
-    const auto result = parse_buffer(state_->message_parser, buffer,
-                                     state_->limits, state_->error_message);
-    if (state_->field_memory == 0 && state_->message_parser.is_header_done())
-    {
-        state_->field_memory = parsed_field_memory(state_->message_parser);
-    }
-    return result;
+    return parse_buffer(state_->message_parser, buffer, state_->limits,
+                        state_->head_lines, state_->error_message);
 }
 
 std::size_t request_parser::field_memory() const
 {
-    return state_->field_memory;
+    return bytes_per_field * state_->head_lines;
 }
 
 http_request request_parser::take_message()
@@ -288,13 +284,13 @@
     bool close_delimited;
     unsigned interim_responses{0};
     std::optional<parser<false>> message_parser;
-    std::size_t field_memory{0};
+    std::size_t head_lines{0};
     std::string error_message;
 
     void reset()
     {
         message_parser.emplace();
-        field_memory = 0;
+        head_lines = 0;
         message_parser->skip(head_request);
         set_limits(*message_parser, limits);
     }
@@ -313,13 +309,10 @@
 {
     while (true)
     {
-        const auto result = parse_buffer(*state_->message_parser, buffer,
-                                         state_->limits, state_->error_message);
+        const auto result =
+            parse_buffer(*state_->message_parser, buffer, state_->limits,
+                         state_->head_lines, state_->error_message);
         const auto& message_parser = *state_->message_parser;
-        if (state_->field_memory == 0 && message_parser.is_header_done())
-        {
-            state_->field_memory = parsed_field_memory(message_parser);
-        }
         if (message_parser.is_header_done() &&
             message_parser.get().result_int() < first_status)
         {
@@ -354,7 +347,7 @@
 
 std::size_t response_parser::field_memory() const
 {
-    return state_->field_memory;
+    return bytes_per_field * state_->head_lines;
 }
 
 bool response_parser::is_close_delimited() const
--- a/src/jujubespan/http/codec_test.cpp
+++ b/src/jujubespan/http/codec_test.cpp
@@ -141,6 +141,23 @@
     return parser.parse(bytes);
 }
 
+// Guards against heads that stall before their end, whose fields are held
+// without being counted.
+TEST(http_codec, fields_of_an_incomplete_head_are_counted)
+{
+    constexpr std::size_t count = 1000;
+    constexpr std::size_t min_bytes_per_field = 64;
+    const auto fields = QByteArray("a:\r\n").repeated(count);
+    request_parser requests{message_limits{}};
+    QByteArray request = "GET / HTTP/1.1\r\n" + fields;
+    EXPECT_EQ(requests.parse(request), parse_state::incomplete);
+    EXPECT_GE(requests.field_memory(), count * min_bytes_per_field);
+    response_parser responses{message_limits{}, false};
+    QByteArray response = "HTTP/1.1 200 OK\r\n" + fields;
+    EXPECT_EQ(responses.parse(response), parse_state::incomplete);
+    EXPECT_GE(responses.field_memory(), count * min_bytes_per_field);
+}
+
 // Guards against a trailer that is received as a whole escaping the limit: the
 // library throws at a field that it cannot hold.
 TEST(http_codec, trailer_beyond_the_limit_is_malformed)
