Soak: cut nodes off while servers leave, and check what they use afterwards

The check of draining servers passes over nodes that were disturbed after the drain began, so it never judged a node that had been cut off. The new one judges every request that is sent more than three seconds after the last disturbance of its node. Cuts of 0.3 to 8 s are drawn beside all other faults, by a generator of their own, and once more after them.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,10 +13,15 @@
 from soak import plan
 from soak.client import REQUEST_DEADLINE_S, send_request
 from soak.ledger import RateLimit, SentRequest
+from soak.promises import CONTACT_S, DRAIN_S
 
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
 UNDISTURBED_CRASHES_S = 12.0
+MAX_CUT_S = 8.0
+BEFORE_CUT_S = 0.5  # in which some servers leave
+# A server that leaves during a cut ends this long after all nodes must know.
+STAYS_S = 2.0
 # Addresses in entries of another program, which are no addresses.
 UNUSABLE_ADDRESSES = (
     "127.0.0.1\0:8080", "\0:8080", "[127.0.0.1]:8080", "]:8080", ".8:8080",
@@ -30,6 +35,7 @@
         self.random = random.Random(seed)
         # For draws that must not change those of seeds of earlier failures.
         self.second_random = random.Random(f"second {seed}")
+        self.cut_random = random.Random(f"cuts {seed}")
         # Pairs (aspect, item) that are being disturbed. An item is a node, a
         # backend server, the store or the name of a client setting.
         self.reserved = set()
@@ -60,7 +66,8 @@
     async def run(self, seconds):
         """Starts faults for a time, then waits until all have ended."""
         until = time.monotonic() + seconds
-        tasks = {asyncio.create_task(self.write_unusable_entries(seconds))}
+        tasks = {asyncio.create_task(self.write_unusable_entries(seconds)),
+                 asyncio.create_task(self.cut_off_nodes_repeatedly(seconds))}
         if self.fleet.organisations is not None:
             tasks.add(asyncio.create_task(
                 self.fleet.organisations.change_keys(self.fleet, seconds)))
@@ -72,6 +79,7 @@
         # Undisturbed by other faults, every node must know of it in time.
         await self.send_crashing_request(UNDISTURBED_CRASHES_S)
         await asyncio.gather(*self.restart_tasks)
+        await self.cut_off_nodes()
 
     async def write_unusable_entries(self, seconds):
         """Writes entries of another program, which name no instance.
@@ -227,6 +235,75 @@
         await self.disturb_node("store connections", "store data loss",
                                 apply_fault, clear_fault)
 
+    async def cut_off_nodes_repeatedly(self, seconds):
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            await asyncio.sleep(self.cut_random.uniform(0.5, 4))
+            await self.cut_off_nodes()
+
+    async def cut_off_nodes(self):
+        """Cuts nodes off while the servers beside them leave.
+
+        The links to the store, and mostly those from other nodes, carry
+        nothing. The servers leave without announcing it, before, during or
+        shortly after the cut.
+        """
+        chosen = [
+            (node, server)
+            for node, server in zip(self.fleet.nodes, self.fleet.backends)
+            if not self.reserved & {("calls", node), ("backend", server),
+                                    ("store connections", node)}]
+        if not chosen:
+            return
+        chosen = self.cut_random.sample(
+            chosen, self.cut_random.randint(1, len(chosen)))
+        duration_s = self.cut_random.uniform(0.3, MAX_CUT_S)
+        with_calls = self.cut_random.random() < 0.7
+        end = time.monotonic() + BEFORE_CUT_S + duration_s
+        await asyncio.gather(
+            self.cut_links([node for node, _ in chosen], duration_s,
+                           with_calls),
+            *[self.leave_unannounced(
+                server, self.cut_random.uniform(0, duration_s + 1), end)
+              for _, server in chosen])
+
+    async def cut_links(self, nodes, duration_s, with_calls):
+        await asyncio.sleep(BEFORE_CUT_S)
+        names = " ".join(node.config.name for node in nodes)
+        disturbance = self.ledger.begin_disturbance("*", f"cut of {names}")
+        proxies = [node.store_proxy for node in nodes]
+        aspects = {("store connections", node) for node in nodes}
+        if with_calls:
+            proxies += [node.call_proxy for node in nodes]
+            aspects |= {("calls", node) for node in nodes}
+        self.reserved |= aspects
+        for proxy in proxies:
+            proxy.drop_up = proxy.drop_down = True
+        await asyncio.sleep(duration_s)
+        for proxy in proxies:
+            proxy.clear_faults()
+        self.reserved -= aspects
+        self.ledger.end_disturbance(disturbance)
+
+    async def leave_unannounced(self, server, delay_s, cut_end):
+        self.reserved.add(("backend", server))
+        await asyncio.sleep(delay_s)
+        disturbance = self.ledger.begin_disturbance(
+            "backend-" + server.config.name, "departure")
+        server.heartbeat_task.cancel()
+        self.fleet.store.delete(
+            platform_store.INSTANCE_PREFIX + server.instance)
+        left_at = time.monotonic()
+        self.ledger.removed[server.instance] = left_at
+        known_at = max(left_at + DRAIN_S, cut_end + CONTACT_S)
+        await asyncio.sleep(known_at + STAYS_S - time.monotonic())
+        server.stop()
+        await asyncio.sleep(0.1)
+        server.begin_lifetime(new_id=True)
+        await server.start()
+        self.ledger.end_disturbance(disturbance)
+        self.release_item("backend", server)
+
     async def change_store_mode(self):
         store = self.fleet.store
         if self.reserve_item("store", [store]) is None:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -93,6 +93,8 @@
     # (time, {route: services}) of each published configuration
     configurations: list = field(default_factory=list)
     draining: dict = field(default_factory=dict)  # instance: drain start
+    # instance that left without announcing it: removal of its entry
+    removed: dict = field(default_factory=dict)
     rate_limits: list = field(default_factory=list)
     keys: dict = field(default_factory=dict)  # key: KeyHolding
     # (node, instance): time at which the node first passed on a response in
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -12,6 +12,7 @@
 
 RECONNECT_S = 3.0
 DRAIN_S = 2.0
+CONTACT_S = 3.0  # without a disturbance until a node knows all changes
 CONFIG_CONVERGENCE_S = 2.0
 TIMEOUT_TOLERANCE_S = 0.5
 UNACCEPTED_CLOSE_S = 0.2
@@ -93,6 +94,7 @@
         self.check_arrivals_were_sent()
         self.check_cancellation()
         self.check_drain()
+        self.check_departures()
         self.check_announced_leaving()
         self.check_rate_limits()
         self.check_retry_budget()
@@ -281,6 +283,27 @@
                                    f"{arrival.at - drain_start:.2f} s after "
                                    "its drain began")
 
+    def check_departures(self):
+        """Nodes without a recent disturbance use no instance that has left.
+
+        Unlike check_drain, this includes nodes that were cut off when the
+        instance left.
+        """
+        left = {**self.ledger.draining, **self.ledger.removed}
+        for arrival in self.ledger.arrivals:
+            left_at = left.get(arrival.instance)
+            sent = self.ledger.sent.get(arrival.id)
+            if (left_at and sent and sent.at > left_at + DRAIN_S
+                    and arrival.executed
+                    and self.ledger.is_undisturbed(
+                        sent.node, sent.at - CONTACT_S, arrival.at,
+                        unplanned_only=True)
+                    and self.is_timing_reliable(sent.at - CONTACT_S,
+                                                arrival.at)):
+                self.add_violation("DRAIN", sent,
+                                   f"reached {arrival.instance}, which had "
+                                   f"left {sent.at - left_at:.2f} s before")
+
     def is_told(self, told, arrival, delay_s):
         """Tells whether the sending node had passed on an announcement.
 
--- a/soak/promises_test.py
+++ b/soak/promises_test.py
@@ -202,6 +202,18 @@
         self.add_arrival(self.add_request())
         self.assertEqual(self.find_broken_rules(), ["DRAIN"])
 
+    def test_request_to_a_server_that_left_during_a_cut(self):
+        self.ledger.removed["i-1"] = START - 6
+        self.add_disturbance(START - 8, START - 3.2)
+        self.add_arrival(self.add_request())
+        self.assertEqual(self.find_broken_rules(), ["DRAIN"])
+
+    def test_node_that_was_just_cut_off_may_not_know_of_a_departure(self):
+        self.ledger.removed["i-1"] = START - 6
+        self.add_disturbance(START - 8, START - 2.8)
+        self.add_arrival(self.add_request())
+        self.assertEqual(self.find_broken_rules(), [])
+
     def test_retries_beyond_the_budget(self):
         for number in range(40):
             sent = self.add_request("view", number, at=START + number / 10)
