--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,7 @@
 MAX_DURATION_S = 4.0
 UNDISTURBED_CRASHES_S = 12.0
 MAX_CUT_S = 8.0
+BURST_PAUSE_S = 0.04  # between the requests of a client
 BEFORE_CUT_S = 0.5  # in which some servers leave
 # A server that leaves during a cut ends this long after all nodes must know.
 STAYS_S = 2.0
@@ -79,7 +80,7 @@
         # Undisturbed by other faults, every node must know of it in time.
         await self.send_crashing_request(UNDISTURBED_CRASHES_S)
         await asyncio.gather(*self.restart_tasks)
-        await self.cut_off_nodes()
+        await self.cut_off_nodes_under_load()
 
     async def write_unusable_entries(self, seconds):
         """Writes entries of another program, which name no instance.
@@ -241,6 +242,16 @@
             await asyncio.sleep(self.cut_random.uniform(0.5, 4))
             await self.cut_off_nodes()
 
+    async def cut_off_nodes_under_load(self):
+        """Nodes use an instance that has left for some 0.1 s too long."""
+        clients = self.fleet.clients
+        previous = clients[0].pause_s
+        for client in clients:
+            client.pause_s = BURST_PAUSE_S
+        await self.cut_off_nodes()
+        for client in clients:
+            client.pause_s = previous
+
     async def cut_off_nodes(self):
         """Cuts nodes off while the servers beside them leave.
 
@@ -543,4 +554,4 @@
         await self.change_clients("clients abandon requests", "gives_up", 0.5)
 
     async def increase_request_rate(self):
-        await self.change_clients("burst", "pause_s", 0.04)
+        await self.change_clients("burst", "pause_s", BURST_PAUSE_S)
