--- a/src/jujubespan/mesh/return_from_cut_test.cpp
+++ b/src/jujubespan/mesh/return_from_cut_test.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <ostream>
 #include <string>
 
@@ -27,7 +28,7 @@
 constexpr duration tick = 100ms;
 constexpr duration round_trip = 4ms;
 
-const time_point begin{1000s};
+const time_point start{1000s};
 
 // How a node reads discovery before the cut.
 struct reading_pattern
@@ -44,98 +45,127 @@
     reading_pattern{"subscriber", 1600ms, 2000ms, 1600ms},
     reading_pattern{"subscriber_without_reader", 0ms, 2000ms, 1600ms}};
 
-// A node whose path to discovery is cut from `cut_at` until `cut_end`. A call
-// that is in progress at any time of the cut gets no response.
-struct cut_node
+// A cut of a node's path to discovery, and the time at which the entry of an
+// instance is removed.
+struct cut
 {
-    reading_pattern pattern;
-    time_point cut_at;
-    time_point cut_end;
-    time_point removed_at; // the entry of the instance
-    double jitter;
-
-    instance_directory list{};
-
-    [[nodiscard]] bool is_cut(time_point from, time_point to) const
-    {
-        return from < cut_end && to >= cut_at;
-    }
-
-    [[nodiscard]] bool relies_on_updates() const
-    {
-        return pattern.updates_end > duration::zero();
-    }
+    time_point begin;
+    time_point end;
+    time_point removed_at;
+    double jitter; // of the delays between calls that fail
+};
 
-    // The time at which the instance is out of use.
-    time_point run()
+// A node whose calls get no response if they are in progress during the cut.
+class cut_node
+{
+public:
+    cut_node(const reading_pattern& pattern, const cut& times)
+        : pattern_(pattern), times_(times)
     {
         instance item;
         item.id = "a";
         item.service = "s";
         item.backend_address = "10.0.0.1:80";
-        list.put(item);
-        unsigned failures = 0;
-        bool known = false;
-        bool short_call = relies_on_updates();
-        time_point next_call = begin;
-        time_point last_contact = begin;
-        time_point next_tick = begin;
+        list_.put(item);
+    }
+
+    // Calls discovery until the instance is out of use, and returns that time.
+    time_point run()
+    {
         if (relies_on_updates())
         {
-            next_call = cut_at + pattern.updates_end;
-            last_contact = cut_at;
-            if (removed_at < cut_at)
+            if (times_.removed_at < times_.begin)
             {
-                return removed_at; // An update has brought the removal.
+                return times_.removed_at; // An update has brought the removal.
             }
+            next_call_ = times_.begin + pattern_.updates_end;
         }
-        while (true)
+        while (!out_of_use_at_)
         {
-            const auto wait = short_call ? probe_wait : pattern.watch_wait;
-            const auto sent_at = next_call;
-            const auto answer_at =
-                known ? sent_at + wait
-                      : std::clamp(removed_at, sent_at, sent_at + wait) +
-                            round_trip;
-            const bool answered = !is_cut(sent_at, answer_at);
+            const auto sent_at = next_call_;
+            const auto answer_at = answer_time(sent_at);
+            const bool answered =
+                sent_at >= times_.end || answer_at < times_.begin;
             const auto end =
-                answered ? answer_at : sent_at + wait + response_margin;
-            for (; next_tick < end; next_tick += tick)
-            {
-                if (list.expire(next_tick))
-                {
-                    return next_tick;
-                }
-            }
-            if (!answered)
-            {
-                const failed_call call{sent_at, sent_at, false, {}};
-                list.on_interrupted(failures == 0 && relies_on_updates()
-                                        ? last_contact
-                                        : call.away_since,
-                                    call.sent_at);
-                short_call = true;
-                next_call =
-                    end + retry_delay(call, failures++, pattern.max_retry_delay,
-                                      jitter, end);
-                continue;
-            }
-            list.on_restored(end);
-            last_contact = end;
-            failures = 0;
-            short_call = false;
-            if (!known && removed_at < end)
+                answered ? answer_at : sent_at + wait() + response_margin;
+            expire_until(end);
+            answered ? on_answer(end) : on_timeout(sent_at, end);
+        }
+        return *out_of_use_at_;
+    }
+
+private:
+    [[nodiscard]] bool relies_on_updates() const
+    {
+        return pattern_.updates_end > duration::zero();
+    }
+
+    [[nodiscard]] duration wait() const
+    {
+        const bool has_contact =
+            failures_ == 0 && (last_answer_ || !relies_on_updates());
+        return has_contact ? pattern_.watch_wait : probe_wait;
+    }
+
+    // The source answers at once if something has changed.
+    [[nodiscard]] time_point answer_time(time_point sent_at) const
+    {
+        const auto latest = sent_at + wait();
+        return removal_known_ ? latest
+                              : std::clamp(times_.removed_at, sent_at, latest) +
+                                    round_trip;
+    }
+
+    void expire_until(time_point end)
+    {
+        for (; next_tick_ < end && !out_of_use_at_; next_tick_ += tick)
+        {
+            if (list_.expire(next_tick_))
             {
-                known = true;
-                list.remove("a", end);
-                if (list.state("a") == instance_state::removed)
-                {
-                    return end;
-                }
+                out_of_use_at_ = next_tick_;
             }
-            next_call = end;
         }
     }
+
+    void on_timeout(time_point sent_at, time_point now)
+    {
+        const failed_call call{sent_at, sent_at, false, {}};
+        const bool updates_ended =
+            failures_ == 0 && !last_answer_ && relies_on_updates();
+        list_.on_interrupted(updates_ended ? times_.begin : call.away_since,
+                             call.sent_at);
+        next_call_ =
+            now + retry_delay(call, failures_++, pattern_.max_retry_delay,
+                              times_.jitter, now);
+    }
+
+    void on_answer(time_point now)
+    {
+        list_.on_restored(now);
+        last_answer_ = now;
+        failures_ = 0;
+        next_call_ = now;
+        if (removal_known_ || times_.removed_at >= now || out_of_use_at_)
+        {
+            return;
+        }
+        removal_known_ = true;
+        list_.remove("a", now);
+        if (list_.state("a") == instance_state::removed)
+        {
+            out_of_use_at_ = now;
+        }
+    }
+
+    reading_pattern pattern_;
+    cut times_;
+    instance_directory list_;
+    unsigned failures_{0};
+    bool removal_known_{false};
+    std::optional<time_point> last_answer_;
+    std::optional<time_point> out_of_use_at_;
+    time_point next_call_{start};
+    time_point next_tick_{start};
 };
 
 struct cut_times
@@ -157,11 +187,11 @@
 class return_from_cut : public ::testing::TestWithParam<reading_pattern>
 {
 protected:
-    static cut_node make_node(const cut_times& times)
+    static cut make_cut(const cut_times& times)
     {
-        const auto cut_at = begin + times.begin;
-        return {GetParam(), cut_at, cut_at + times.length,
-                cut_at + times.removal, times.jitter};
+        const auto cut_begin = start + times.begin;
+        return {cut_begin, cut_begin + times.length, cut_begin + times.removal,
+                times.jitter};
     }
 
     template <typename Check>
@@ -183,10 +213,10 @@
     cut_times worst_case{};
     const auto check = [&](const cut_times& times)
     {
-        auto node = make_node(times);
-        const auto bound = std::max(node.removed_at + drain_bound,
-                                    node.cut_end + contact_bound);
-        const auto late = node.run() - bound;
+        const auto cut = make_cut(times);
+        const auto bound =
+            std::max(cut.removed_at + drain_bound, cut.end + contact_bound);
+        const auto late = cut_node(GetParam(), cut).run() - bound;
         if (late > worst)
         {
             worst = late;
@@ -215,8 +245,8 @@
     cut_times least_case{};
     const auto check = [&](const cut_times& times)
     {
-        auto node = make_node(times);
-        const auto used_for = node.run() - node.cut_end;
+        const auto cut = make_cut(times);
+        const auto used_for = cut_node(GetParam(), cut).run() - cut.end;
         if (used_for < least)
         {
             least = used_for;
@@ -250,8 +280,8 @@
                  took += 10ms)
             {
                 const auto delay =
-                    retry_delay({begin, begin, false, {}}, failures, 1600ms,
-                                jitter, begin + took);
+                    retry_delay({start, start, false, {}}, failures, 1600ms,
+                                jitter, start + took);
                 longest = std::max(longest, took + delay);
                 shortest = std::min(shortest, delay);
             }
@@ -265,11 +295,11 @@
 // A store that refuses calls is asked less often.
 TEST(retry_delay, calls_that_are_refused_wait_up_to_the_given_delay)
 {
-    const failed_call refused{begin, begin, true, {}};
-    EXPECT_EQ(retry_delay(refused, 0, 1600ms, 1, begin), 120ms);
-    EXPECT_EQ(retry_delay(refused, 2, 1600ms, 1, begin), 480ms);
-    EXPECT_EQ(retry_delay(refused, 9, 1600ms, 1, begin), 1600ms);
-    EXPECT_EQ(retry_delay(refused, 9, 800ms, 1, begin), 800ms);
+    const failed_call refused{start, start, true, {}};
+    EXPECT_EQ(retry_delay(refused, 0, 1600ms, 1, start), 120ms);
+    EXPECT_EQ(retry_delay(refused, 2, 1600ms, 1, start), 480ms);
+    EXPECT_EQ(retry_delay(refused, 9, 1600ms, 1, start), 1600ms);
+    EXPECT_EQ(retry_delay(refused, 9, 800ms, 1, start), 800ms);
 }
 
 INSTANTIATE_TEST_SUITE_P(patterns, return_from_cut,
