Close the listener of a server before its connections

Cause: the stand-in of the test ends by destroying its server, which closed the connections first and the listener last. A probe that the node sent in between was accepted by the kernel, so that the process counted as alive. The threads are microseconds apart, but the machine was busy.

Node processes end without destructors, so this concerns tests only.

--- a/src/jujubespan/http/server.cpp
+++ b/src/jujubespan/http/server.cpp
@@ -411,6 +411,9 @@
 
 server::~server()
 {
+    // First, so that a client whose connection is closed does not take the
+    // address for that of a live process.
+    listener_.close();
     // The destructor of a connection removes its exchange from `exchanges_`.
     for (auto* connection : all_connections())
     {
