Tests: never draw the same free endpoint twice

Cause: free_endpoint asks the kernel for a free port and closes it again, and the kernel gives closed ports out again: of 1,000 draws 68 were repeated. A test with nodes draws eight endpoints or more before any is used, so two of them can be the same. Nothing else listens on that address, which is derived from the process id.

--- a/src/jujubespan/http/server_test.cpp
+++ b/src/jujubespan/http/server_test.cpp
@@ -19,6 +19,7 @@
 #include <malloc.h>
 #include <map>
 #include <netinet/in.h>
+#include <set>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -404,5 +405,17 @@
     EXPECT_EQ(handler.disconnected.size(), 2U);
 }
 
+// Guards against two servers of one test that are given the same address.
+TEST(free_endpoint, differs_from_all_earlier_ones)
+{
+    constexpr std::size_t count = 1000;
+    std::set<std::uint16_t> ports;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        ports.insert(free_endpoint().port);
+    }
+    EXPECT_EQ(ports.size(), count);
+}
+
 } // namespace
 } // namespace jujubespan::http
--- a/src/jujubespan/http/testing.hpp
+++ b/src/jujubespan/http/testing.hpp
@@ -6,6 +6,8 @@
 
 #include <QTcpServer>
 
+#include <cstdint>
+#include <set>
 #include <string>
 #include <unistd.h>
 
@@ -28,14 +30,23 @@
            "." + std::to_string(first_octet + id % octet_values);
 }
 
-/// @brief Returns a loopback endpoint on which nothing listens.
+/// @brief Returns a loopback endpoint on which nothing listens, and which no
+/// earlier call in this process has returned: the kernel gives a port out again
+/// once it is closed, and tests draw several endpoints before they use them.
 inline config::endpoint free_endpoint()
 {
     app();
+    static std::set<std::uint16_t> drawn_ports;
     const auto address = process_loopback_address();
-    QTcpServer probe;
-    probe.listen(QHostAddress(QString::fromStdString(address)));
-    return {address, probe.serverPort()};
+    while (true)
+    {
+        QTcpServer probe;
+        probe.listen(QHostAddress(QString::fromStdString(address)));
+        if (drawn_ports.insert(probe.serverPort()).second)
+        {
+            return {address, probe.serverPort()};
+        }
+    }
 }
 
 } // namespace jujubespan::testing
