--- a/review/lab3/mesh.py
+++ b/review/lab3/mesh.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from urllib.parse import parse_qs, urlsplit
@@ -31,6 +32,8 @@
     return "127.%d.%d.%d" % (RUN_NETWORK[0], RUN_NETWORK[1], number)
 
 
+# Ends the nodes also when the case itself is stopped.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 RUN_NETWORK = (random.randrange(64, 250), random.randrange(1, 250))
 
 
@@ -60,10 +63,6 @@
         self.file.flush()
 
 
-class HttpError(Exception):
-    pass
-
-
 async def read_head(reader):
     """Returns the first line and the headers, or None at the end."""
     line = await reader.readline()
